--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Configures and builds: scripts/build.sh [build folder] [cmake options...].
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+folder=${1:-build}
+shift || true
+cmake -S . -B "$folder" -G Ninja "$@" >/dev/null
+cmake --build "$folder"
--- /dev/null
+++ b/scripts/run_tests.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scripts/install_packages.sh
+scripts/build.sh build
+ctest --test-dir build --output-on-failure -j 4
--- /dev/null
+++ b/src/libs/base/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/libs/bundle/tst_bundlecodec.cpp
@@ -0,0 +1,79 @@
+#include "bundle/bundlecodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace clementinefall;
+using namespace clementinefall::bundle;
+
+namespace {
+
+Bundle smallBundle()
+{
+    Bundle bundle;
+    bundle.version = 3;
+    bundle.author = "ana";
+    bundle.zones = { { "sur-a", "sur" }, { "andes-a", "andes" } };
+    bundle.entryInstances = { { "e1", "sur-a", { "127.0.0.1", 1 }, { "127.0.0.1", 2 }, { "127.0.0.1", 3 } } };
+    Service service;
+    service.name = "sellos";
+    service.team = "registry";
+    service.requestClass = RequestClass::NonIdempotent;
+    service.priority = Priority::Critical;
+    service.servers = { { "s1", "sur-a", { "127.0.0.1", 9 }, 3, 330 } };
+    bundle.services = { service };
+    bundle.shiftCaps = { { "sellos", "sur", "andes", 10, 1000, 1 } };
+    bundle.links = { { "sur", "andes", 1000, milliseconds(35) } };
+    bundle.drains = { { DrainKind::BackendServer, "s1" } };
+    bundle.operators = { { "ana", "registry", Role::Approver, "00", "11" } };
+    return bundle;
+}
+
+ResultCode codeOf(const std::string& text)
+{
+    const auto result = parseBundle(text);
+    REQUIRE_FALSE(isOk(result));
+    return errorOf(result).code;
+}
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("Bundle codec")
+{
+    const Bundle bundle = smallBundle();
+    const std::string text = serializeBundle(bundle);
+
+    SECTION("a bundle survives writing and reading, and its text is stable")
+    {
+        const auto parsed = parseBundle(text);
+        REQUIRE(isOk(parsed));
+        CHECK(valueOf(parsed) == bundle);
+        CHECK(serializeBundle(valueOf(parsed)) == text);
+    }
+
+    SECTION("each kind of mistake has its own number and names its place")
+    {
+        CHECK(codeOf("{") == ResultCode::BundleNotJson);
+        CHECK(codeOf("[]") == ResultCode::BundleWrongType);
+        CHECK(codeOf(replaced(text, "\"version\":3,", "")) == ResultCode::BundleMissingField);
+        CHECK(codeOf(replaced(text, "\"slots\":3", "\"slots\":\"3\"")) == ResultCode::BundleWrongType);
+        CHECK(codeOf(replaced(text, "\"slots\":3", "\"slots\":2.5")) == ResultCode::BundleWrongType);
+        CHECK(codeOf(replaced(text, "\"slots\":3", "\"slots\":0")) == ResultCode::BundleOutOfRange);
+        CHECK(codeOf(replaced(text, "\"slots\":3", "\"slot\":3")) == ResultCode::BundleMissingField);
+        CHECK(codeOf(replaced(text, "\"drains\"", "\"drain\"")) == ResultCode::BundleUnknownField);
+        CHECK(codeOf(replaced(text, "\"sellos\"", "\"a/../b\"")) == ResultCode::BundleOutOfRange);
+        const auto result = parseBundle(replaced(text, "\"slots\":3", "\"slots\":0"));
+        CHECK(errorOf(result).message == "services[0].servers[0].slots: 0 is not in 1..1000");
+    }
+
+    SECTION("deep nesting is refused, so that a hostile bundle cannot exhaust the stack")
+    {
+        CHECK(codeOf(std::string(10'000, '[')) == ResultCode::BundleNotJson);
+    }
+}
