Add the http slice: server, exchange and client connection on Beast

Cause: every program needs HTTP/1.1 with bounded streaming bodies, header and connection limits, and a client that never reuses a connection in doubt. Change: coroutine-based Server, Exchange and ClientConnection with 64 KiB buffers, disconnect watch, drain, numbered errors for hostile input. Before: no network code. Ruled out: one io_context shared by all traffic threads, because pooled connections would then need a strand hand-over on each reuse. Conclusion: programs can be built on it.

--- /dev/null
+++ b/src/libs/http/server.cpp
@@ -0,0 +1,208 @@
+#include "http/server.h"
+
+#include "base/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace clementinefall::http {
+
+using asio::ip::tcp;
+
+namespace {
+
+/// Bytes and time that a connection may still send after an early response. Without it the close would reset the
+/// connection and the peer could lose the response.
+constexpr std::size_t maximumDiscardBytes = 4 * 1024 * 1024;
+constexpr milliseconds discardTimeout { 1000 };
+
+constexpr milliseconds acceptRetryDelay { 100 };
+
+Awaitable<void> discardInput(beast::tcp_stream& stream)
+{
+    beast::error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    std::vector<char> scratch(relayBufferBytes);
+    std::size_t discarded = 0;
+    stream.expires_after(discardTimeout);
+    while (discarded < maximumDiscardBytes) {
+        const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(scratch), useTuple);
+        if (error)
+            co_return;
+        discarded += bytes;
+    }
+}
+
+} // namespace
+
+struct Server::Connection {
+    explicit Connection(tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer { relayBufferBytes + maximumHeaderBytes };
+    std::string peer;
+    bool idle = true;
+};
+
+Server::Server(std::vector<asio::io_context*> serverContexts, ServerLimits serverLimits, Handler exchangeHandler)
+    : contexts(std::move(serverContexts))
+    , limits(serverLimits)
+    , handler(std::move(exchangeHandler))
+    , acceptor(*this->contexts.front())
+{
+}
+
+Status Server::listen(const HostPort& address)
+{
+    beast::error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
+    const auto attempt = [&error](auto&& step) {
+        if (!error)
+            step();
+    };
+    attempt([&] { this->acceptor.open(endpoint.protocol(), error); });
+    attempt([&] { this->acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+    attempt([&] { this->acceptor.bind(endpoint, error); });
+    attempt([&] { this->acceptor.listen(asio::socket_base::max_listen_connections, error); });
+    if (error)
+        return makeError(ResultCode::SettingsBadAddress, "cannot listen on {}: {}", address.text(), error.message());
+    asio::co_spawn(*this->contexts.front(), this->acceptLoop(this->shared_from_this()), asio::detached);
+    return okStatus();
+}
+
+std::uint16_t Server::port() const { return this->acceptor.local_endpoint().port(); }
+
+Awaitable<void> Server::acceptLoop(std::shared_ptr<Server> self)
+{
+    std::size_t next = 0;
+    while (self->acceptor.is_open()) {
+        asio::io_context& context = *self->contexts[next++ % self->contexts.size()];
+        auto [error, socket] = co_await self->acceptor.async_accept(context, useTuple);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            // Out of descriptors, for example; a tight loop would make it worse.
+            logWarning("accept_failed", { { "error", error.message() } });
+            asio::steady_timer timer(co_await asio::this_coro::executor, acceptRetryDelay);
+            co_await timer.async_wait(useTuple);
+            continue;
+        }
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        if (!self->admit(connection))
+            continue;
+        asio::co_spawn(context, self->serve(self, connection), asio::detached);
+    }
+}
+
+bool Server::admit(const std::shared_ptr<Connection>& connection)
+{
+    beast::error_code error;
+    const auto endpoint = connection->stream.socket().remote_endpoint(error);
+    if (error)
+        return false;
+    connection->peer = endpoint.address().to_string();
+    const std::scoped_lock lock(this->mutex);
+    unsigned& fromPeer = this->connectionsByPeer[connection->peer];
+    if (this->connections.size() >= this->limits.maximumConnections
+        || fromPeer >= this->limits.maximumConnectionsPerPeer) {
+        logWarning(
+            "connection_refused", { { "code", number(ResultCode::TooManyConnections) }, { "peer", connection->peer } });
+        return false;
+    }
+    ++fromPeer;
+    this->connections.insert(connection);
+    return true;
+}
+
+void Server::remove(const std::shared_ptr<Connection>& connection)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->connections.erase(connection);
+    const auto found = this->connectionsByPeer.find(connection->peer);
+    if (found != this->connectionsByPeer.end() && --found->second == 0)
+        this->connectionsByPeer.erase(found);
+}
+
+std::size_t Server::openConnections() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->connections.size();
+}
+
+std::vector<std::shared_ptr<Server::Connection>> Server::allConnections() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return { this->connections.begin(), this->connections.end() };
+}
+
+Awaitable<void> Server::serve(std::shared_ptr<Server> self, std::shared_ptr<Connection> connection)
+{
+    bool isFirst = true;
+    while (co_await self->serveOne(connection, isFirst))
+        isFirst = false;
+    self->remove(connection);
+}
+
+Awaitable<bool> Server::serveOne(std::shared_ptr<Connection> connection, bool isFirst)
+{
+    const auto exchange = std::make_shared<Exchange>(connection->stream, connection->buffer, this->limits.ioTimeout);
+    const TimePoint deadline = Clock::now() + (isFirst ? this->limits.headerTimeout : this->limits.idleTimeout);
+    const Status received = co_await exchange->receiveHeader(deadline);
+    if (!isOk(received)) {
+        // A peer that closed an idle connection, or sent nothing, gets no answer.
+        const bool sentSomething
+            = connection->buffer.size() > 0 || errorOf(received).code == ResultCode::HeaderTooLarge;
+        if (sentSomething && connection->stream.socket().is_open()) {
+            exchange->setClosing();
+            co_await exchange->respond(errorResponse(errorOf(received)));
+            co_await discardInput(connection->stream);
+        }
+        co_return false;
+    }
+    connection->idle = false;
+    ++this->exchangesInFlight;
+    if (this->draining)
+        exchange->setClosing();
+    co_await this->handler(exchange);
+    exchange->stopWatching();
+    if (!exchange->hasCompletedResponse())
+        exchange->abort();
+    --this->exchangesInFlight;
+    connection->idle = true;
+    if (exchange->isKeptAlive() && !this->draining)
+        co_return true;
+    if (exchange->hasCompletedResponse())
+        co_await discardInput(connection->stream);
+    co_return false;
+}
+
+void Server::drain()
+{
+    this->draining = true;
+    asio::post(*this->contexts.front(), [self = this->shared_from_this()] {
+        beast::error_code ignored;
+        self->acceptor.close(ignored);
+    });
+    for (const auto& connection : this->allConnections()) {
+        asio::post(connection->stream.get_executor(), [connection] {
+            if (connection->idle)
+                connection->stream.close();
+        });
+    }
+}
+
+void Server::close()
+{
+    this->drain();
+    for (const auto& connection : this->allConnections())
+        asio::post(connection->stream.get_executor(), [connection] { connection->stream.close(); });
+}
+
+} // namespace clementinefall::http
--- /dev/null
+++ b/src/libs/http/tst_http.cpp
@@ -0,0 +1,201 @@
+#include "http/clientconnection.h"
+#include "http/server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace clementinefall;
+using namespace clementinefall::http;
+
+namespace {
+
+/// Server and client contexts with a thread each.
+class Fixture {
+public:
+    explicit Fixture(Handler handler, ServerLimits limits = {})
+        : server(std::make_shared<Server>(
+            std::vector<asio::io_context*> { &this->serverContext }, limits, std::move(handler)))
+    {
+        REQUIRE(isOk(this->server->listen({ "127.0.0.1", 0 })));
+        this->serverThread = std::thread([this] { this->serverContext.run(); });
+        this->clientThread = std::thread([this] { this->clientContext.run(); });
+    }
+
+    ~Fixture()
+    {
+        this->server->close();
+        this->guard.reset();
+        this->serverGuard.reset();
+        this->clientThread.join();
+        this->serverThread.join();
+    }
+
+    template <typename T> T run(Awaitable<T> task)
+    {
+        return asio::co_spawn(this->clientContext, std::move(task), asio::use_future).get();
+    }
+
+    HostPort address() const { return { "127.0.0.1", this->server->port() }; }
+
+    asio::io_context serverContext;
+    asio::io_context clientContext;
+    asio::executor_work_guard<asio::io_context::executor_type> guard { this->clientContext.get_executor() };
+    asio::executor_work_guard<asio::io_context::executor_type> serverGuard { this->serverContext.get_executor() };
+    std::shared_ptr<Server> server;
+    std::thread serverThread;
+    std::thread clientThread;
+};
+
+TimePoint soon() { return Clock::now() + seconds(5); }
+
+Request postRequest(std::string body)
+{
+    Request request { Verb::post, "/echo", 11 };
+    request.body() = std::move(body);
+    return request;
+}
+
+Awaitable<Result<Response>> callOnce(asio::any_io_executor executor, HostPort address, Request request)
+{
+    const auto connection = std::make_shared<ClientConnection>(executor);
+    const Status connected = co_await connection->connect(address, soon());
+    if (!isOk(connected))
+        co_return errorOf(connected);
+    co_return co_await connection->exchange(std::move(request), 64 * 1024 * 1024, soon());
+}
+
+/// Sends raw bytes and returns all that comes back until the server closes.
+std::string rawExchange(const HostPort& address, const std::string& bytes)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(address.host), address.port });
+    beast::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+}
+
+Awaitable<void> echo(std::shared_ptr<Exchange> exchange)
+{
+    const Result<std::string> body = co_await exchange->receiveWholeBody(32 * 1024 * 1024);
+    if (!isOk(body)) {
+        Response refused = errorResponse(errorOf(body));
+        co_await exchange->respond(std::move(refused));
+        co_return;
+    }
+    Response response = jsonResponse(200, valueOf(body));
+    co_await exchange->respond(std::move(response));
+}
+
+Awaitable<void> cutShort(std::shared_ptr<Exchange> exchange)
+{
+    ResponseHeader header;
+    header.result(200);
+    co_await exchange->sendHeader(std::move(header), 1000);
+    co_await exchange->sendBody("only a part");
+}
+
+Awaitable<void> cutShortChunked(std::shared_ptr<Exchange> exchange)
+{
+    ResponseHeader header;
+    header.result(200);
+    co_await exchange->sendHeader(std::move(header), std::nullopt);
+    co_await exchange->sendBody("only a part");
+}
+
+} // namespace
+
+TEST_CASE("HTTP server and client")
+{
+    SECTION("bodies from nothing to many buffers arrive whole, on one connection")
+    {
+        Fixture fixture(echo);
+        const auto connection = std::make_shared<ClientConnection>(fixture.clientContext.get_executor());
+        REQUIRE(isOk(fixture.run(connection->connect(fixture.address(), soon()))));
+        for (const std::size_t size : { 0, 1, 65'535, 65'536, 65'537, 5'000'000 }) {
+            const std::string body(size, 'x');
+            const auto response = fixture.run(connection->exchange(postRequest(body), 8'000'000, soon()));
+            REQUIRE(isOk(response));
+            CHECK(valueOf(response).body() == body);
+            CHECK(connection->isReusable());
+        }
+    }
+
+    SECTION("a response that is cut short is an error and its connection is not used again")
+    {
+        for (const Handler& handler : { Handler(cutShort), Handler(cutShortChunked) }) {
+            Fixture fixture(handler);
+            const auto connection = std::make_shared<ClientConnection>(fixture.clientContext.get_executor());
+            REQUIRE(isOk(fixture.run(connection->connect(fixture.address(), soon()))));
+            const auto response = fixture.run(connection->exchange(postRequest(""), 8'000'000, soon()));
+            REQUIRE_FALSE(isOk(response));
+            CHECK(outcomeOf(errorOf(response).code) == Outcome::Unknown);
+            CHECK_FALSE(connection->isReusable());
+        }
+    }
+
+    SECTION("hostile input gets a numbered error and the server goes on")
+    {
+        Fixture fixture(echo);
+        CHECK(rawExchange(fixture.address(), "NONSENSE\r\n\r\n").find("\"result\":4000") != std::string::npos);
+        CHECK(rawExchange(fixture.address(), "GET / HTTP/1.1\r\nx: " + std::string(20'000, 'a') + "\r\n\r\n")
+                  .find("\"result\":4001")
+            != std::string::npos);
+        CHECK(rawExchange(fixture.address(), "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
+                  .find("\"result\":4002")
+            != std::string::npos);
+        CHECK(rawExchange(fixture.address(), "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")
+                  .find("\"result\":4000")
+            != std::string::npos);
+        const auto response = fixture.run(
+            callOnce(fixture.clientContext.get_executor(), fixture.address(), postRequest("still there")));
+        REQUIRE(isOk(response));
+        CHECK(valueOf(response).body() == "still there");
+    }
+
+    SECTION("connections over the limit for one peer are closed, and the others work on")
+    {
+        ServerLimits limits;
+        limits.maximumConnectionsPerPeer = 1;
+        Fixture fixture(echo, limits);
+        const auto first = std::make_shared<ClientConnection>(fixture.clientContext.get_executor());
+        REQUIRE(isOk(fixture.run(first->connect(fixture.address(), soon()))));
+        REQUIRE(isOk(fixture.run(first->exchange(postRequest("a"), 100, soon()))));
+        const auto second
+            = fixture.run(callOnce(fixture.clientContext.get_executor(), fixture.address(), postRequest("b")));
+        CHECK_FALSE(isOk(second));
+        CHECK(isOk(fixture.run(first->exchange(postRequest("c"), 100, soon()))));
+    }
+
+    SECTION("a drained server finishes the exchange in flight and takes no new connection")
+    {
+        asio::io_context* serverContext = nullptr;
+        std::weak_ptr<Server> weakServer;
+        const Handler drainingEcho = [&weakServer](std::shared_ptr<Exchange> exchange) -> Awaitable<void> {
+            weakServer.lock()->drain();
+            co_await echo(exchange);
+        };
+        Fixture fixture(drainingEcho);
+        serverContext = &fixture.serverContext;
+        weakServer = fixture.server;
+        const HostPort address = fixture.address();
+        const auto connection = std::make_shared<ClientConnection>(fixture.clientContext.get_executor());
+        REQUIRE(isOk(fixture.run(connection->connect(address, soon()))));
+        const auto response = fixture.run(connection->exchange(postRequest("last"), 100, soon()));
+        REQUIRE(isOk(response));
+        CHECK(valueOf(response).body() == "last");
+        // The acceptor is closed by a task on the server's thread that was posted before this one.
+        asio::post(*serverContext, asio::use_future).get();
+        const auto refused = fixture.run(callOnce(fixture.clientContext.get_executor(), address, postRequest("late")));
+        REQUIRE_FALSE(isOk(refused));
+        CHECK(errorOf(refused).code == ResultCode::NotRunConnectRefused);
+    }
+}
