--- /dev/null
+++ b/src/libs/platform/platformclient.cpp
@@ -0,0 +1,149 @@
+#include "platform/platformclient.h"
+
+namespace clementinefall::platform {
+
+using http::Field;
+using http::Request;
+using http::Response;
+using http::Verb;
+
+namespace {
+
+/// Idle connections kept for calls; more than the usual number of concurrent calls on the control thread.
+constexpr std::size_t maximumIdleConnections = 4;
+constexpr milliseconds longestIdle { 15'000 };
+
+Error platformError(const Error& error)
+{
+    switch (error.code) {
+    case ResultCode::UnknownTimeout:
+        return makeError(ResultCode::PlatformTimeout, "{}", error.message);
+    case ResultCode::UnknownAnswerInvalid:
+    case ResultCode::BodyTooLarge:
+        return makeError(ResultCode::PlatformBadAnswer, "{}", error.message);
+    default:
+        return makeError(ResultCode::PlatformUnreachable, "{}", error.message);
+    }
+}
+
+Error statusError(const Request& request, const Response& response)
+{
+    const unsigned status = response.result_int();
+    const std::string what = fmt::format(
+        "{} {} gave status {}", std::string(request.method_string()), std::string(request.target()), status);
+    if (status == 404)
+        return makeError(ResultCode::PlatformNotFound, "{}", what);
+    if (status == 412)
+        return makeError(ResultCode::PlatformConflict, "{}", what);
+    if (status >= 500)
+        return makeError(ResultCode::PlatformUnreachable, "{}", what);
+    return makeError(ResultCode::PlatformBadAnswer, "{}", what);
+}
+
+Request requestFor(Verb verb, const std::string& target) { return Request { verb, target, 11 }; }
+
+} // namespace
+
+PlatformClient::PlatformClient(asio::any_io_executor clientExecutor, ClientSettings clientSettings)
+    : executor(std::move(clientExecutor))
+    , settings(std::move(clientSettings))
+    , budget { this->settings.callsPerSecond, this->settings.burst, this->settings.burst, Clock::now() }
+{
+}
+
+std::shared_ptr<http::ClientConnection> PlatformClient::takeIdle()
+{
+    while (!this->idle.empty()) {
+        auto connection = this->idle.back();
+        this->idle.pop_back();
+        if (Clock::now() - connection->lastUsedAt() < longestIdle && !connection->hasPendingInput())
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
+Awaitable<Result<Response>> PlatformClient::call(Request request, milliseconds timeout)
+{
+    const auto self = this->shared_from_this();
+    if (!takeCall(this->budget, Clock::now()))
+        co_return makeError(ResultCode::PlatformBudget, "the call budget is spent");
+    ++this->calls;
+    const TimePoint deadline = Clock::now() + timeout;
+    auto connection = this->takeIdle();
+    if (!connection) {
+        connection = std::make_shared<http::ClientConnection>(this->executor);
+        const Status connected = co_await connection->connect(this->settings.address, deadline);
+        if (!isOk(connected))
+            co_return makeError(ResultCode::PlatformUnreachable, "{}", errorOf(connected).message);
+    }
+    Request copy = request;
+    const Result<Response> response = co_await connection->exchange(std::move(copy), maximumListBytes, deadline);
+    if (!isOk(response))
+        co_return platformError(errorOf(response));
+    if (connection->isReusable() && this->idle.size() < maximumIdleConnections)
+        this->idle.push_back(connection);
+    if (valueOf(response).result_int() >= 300)
+        co_return statusError(request, valueOf(response));
+    co_return valueOf(response);
+}
+
+Awaitable<Result<VersionedValue>> PlatformClient::read(std::string kind, std::string name)
+{
+    Request request = requestFor(Verb::get, fmt::format("/objects/{}/{}", kind, name));
+    const Result<Response> response = co_await this->call(std::move(request), this->settings.callTimeout);
+    if (!isOk(response))
+        co_return errorOf(response);
+    const auto version = parseEntityTag(http::fieldValue(valueOf(response), "ETag"));
+    if (!isOk(version))
+        co_return errorOf(version);
+    co_return VersionedValue { valueOf(response).body(), valueOf(version) };
+}
+
+Awaitable<Result<std::uint64_t>> PlatformClient::write(
+    std::string kind, std::string name, std::string value, std::uint64_t expectedVersion)
+{
+    if (value.size() > maximumValueBytes)
+        co_return makeError(
+            ResultCode::BodyTooLarge, "{}/{}: the value is over {} bytes", kind, name, maximumValueBytes);
+    Request request = requestFor(Verb::put, fmt::format("/objects/{}/{}", kind, name));
+    if (expectedVersion == 0)
+        request.set(Field::if_none_match, "*");
+    else
+        request.set(Field::if_match, formatEntityTag(expectedVersion));
+    request.body() = std::move(value);
+    const Result<Response> response = co_await this->call(std::move(request), this->settings.callTimeout);
+    if (!isOk(response))
+        co_return errorOf(response);
+    co_return parseEntityTag(http::fieldValue(valueOf(response), "ETag"));
+}
+
+Awaitable<Result<ObjectList>> PlatformClient::list(std::string kind)
+{
+    Request request = requestFor(Verb::get, fmt::format("/objects/{}", kind));
+    const Result<Response> response = co_await this->call(std::move(request), this->settings.callTimeout);
+    if (!isOk(response))
+        co_return errorOf(response);
+    co_return parseObjectList(valueOf(response).body());
+}
+
+Awaitable<Result<ObjectList>> PlatformClient::watch(std::string kind, std::uint64_t revision, milliseconds wait)
+{
+    Request request = requestFor(Verb::get, fmt::format("/watch/{}?after={}&waitMs={}", kind, revision, wait.count()));
+    const milliseconds timeout = wait + this->settings.callTimeout;
+    const Result<Response> response = co_await this->call(std::move(request), timeout);
+    if (!isOk(response))
+        co_return errorOf(response);
+    co_return parseObjectList(valueOf(response).body());
+}
+
+Awaitable<Result<InstanceList>> PlatformClient::instances()
+{
+    Request request = requestFor(Verb::get, "/instances");
+    const Result<Response> response = co_await this->call(std::move(request), this->settings.callTimeout);
+    if (!isOk(response))
+        co_return errorOf(response);
+    co_return parseInstanceList(valueOf(response).body());
+}
+
+} // namespace clementinefall::platform
--- /dev/null
+++ b/src/libs/platform/platformclient.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/clock.h"
+#include "http/clientconnection.h"
+#include "platform/calllimiter.h"
+#include "platform/platformprotocol.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace clementinefall::platform {
+
+struct ClientSettings {
+    HostPort address;
+    milliseconds callTimeout { 2000 };
+    double callsPerSecond = 5.0;
+    double burst = 20.0;
+};
+
+/// Client of the platform's object API on one thread. Each call has a deadline and is made once: a failed write may
+/// have taken effect, and only the caller knows how to find out.
+class PlatformClient : public std::enable_shared_from_this<PlatformClient> {
+public:
+    PlatformClient(asio::any_io_executor clientExecutor, ClientSettings clientSettings);
+
+    /// Errors: PlatformNotFound, PlatformUnreachable, PlatformTimeout, PlatformBadAnswer, PlatformBudget.
+    Awaitable<Result<VersionedValue>> read(std::string kind, std::string name);
+
+    /// Replaces the object when its version is still \a expectedVersion; 0 creates it only when it does not exist.
+    /// Returns the new version. Errors as for read(), and PlatformConflict. After PlatformTimeout or
+    /// PlatformUnreachable the write may have taken effect.
+    Awaitable<Result<std::uint64_t>> write(
+        std::string kind, std::string name, std::string value, std::uint64_t expectedVersion);
+
+    Awaitable<Result<ObjectList>> list(std::string kind);
+
+    /// Waits up to \a wait for a change of the kind after \a revision and returns the kind's objects.
+    Awaitable<Result<ObjectList>> watch(std::string kind, std::uint64_t revision, milliseconds wait);
+
+    Awaitable<Result<InstanceList>> instances();
+
+    std::uint64_t callCount() const { return this->calls; }
+
+private:
+    Awaitable<Result<http::Response>> call(http::Request request, milliseconds timeout);
+    std::shared_ptr<http::ClientConnection> takeIdle();
+
+    asio::any_io_executor executor;
+    ClientSettings settings;
+    CallBudget budget;
+    std::vector<std::shared_ptr<http::ClientConnection>> idle;
+    std::uint64_t calls = 0;
+};
+
+} // namespace clementinefall::platform
--- /dev/null
+++ b/src/libs/platform/platformprotocol.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The platform's object API: JSON over HTTP/1.1.
+///
+/// - `GET /objects/<kind>/<name>`: the value; `ETag: "<version>"`.
+/// - `PUT /objects/<kind>/<name>` with `If-Match: "<version>"` or `If-None-Match: *`: 200 with the new version, or 412.
+/// - `GET /objects/<kind>`: names and versions.
+/// - `GET /watch/<kind>?after=<revision>&waitMs=<n>`: waits for a change of the kind.
+/// - `GET /instances`: a lagging list of entry instances and backend servers.
+namespace clementinefall::platform {
+
+/// Longest value of one object, in bytes.
+inline constexpr std::size_t maximumValueBytes = 1024 * 1024;
+
+/// Longest answer of a list call, in bytes.
+inline constexpr std::size_t maximumListBytes = 8 * 1024 * 1024;
+
+struct VersionedValue {
+    std::string value;
+    std::uint64_t version = 0; ///< Never 0 for an object that exists.
+};
+
+struct ObjectRef {
+    std::string name;
+    std::uint64_t version = 0;
+
+    friend bool operator==(const ObjectRef&, const ObjectRef&) = default;
+};
+
+/// Objects of a kind and the platform's revision when the list was made.
+struct ObjectList {
+    std::uint64_t revision = 0;
+    std::vector<ObjectRef> objects;
+
+    friend bool operator==(const ObjectList&, const ObjectList&) = default;
+};
+
+enum class InstanceState : std::uint8_t { Live, Leaving };
+
+struct ListedInstance {
+    std::string name;
+    InstanceState state = InstanceState::Live;
+
+    friend bool operator==(const ListedInstance&, const ListedInstance&) = default;
+};
+
+struct InstanceList {
+    std::vector<ListedInstance> entryInstances;
+    std::vector<ListedInstance> backendServers;
+
+    friend bool operator==(const InstanceList&, const InstanceList&) = default;
+};
+
+std::string serializeObjectList(const ObjectList& list);
+/// Error: PlatformBadAnswer.
+Result<ObjectList> parseObjectList(std::string_view json);
+
+std::string serializeInstanceList(const InstanceList& list);
+/// Error: PlatformBadAnswer.
+Result<InstanceList> parseInstanceList(std::string_view json);
+
+/// `"<version>"`, as in ETag and If-Match.
+std::string formatEntityTag(std::uint64_t version);
+/// Error: PlatformBadAnswer.
+Result<std::uint64_t> parseEntityTag(std::string_view text);
+
+} // namespace clementinefall::platform
