Add identities, the execution table, the retry budget and the request steps

Change: requests/identity, executiontable, retrybudget and requeststeps. A refusal for lack of records is remembered in one bit per sequence, because a later copy could otherwise be started after its caller was told that it was not run. An unissued sequence is answered 3007 instead of 2011, because it may be issued and run later. Conclusion: the network code can be written against these interfaces.

--- /dev/null
+++ b/src/libs/requests/executiontable.cpp
@@ -0,0 +1,209 @@
+#include "requests/executiontable.h"
+
+#include <utility>
+
+namespace clementinefall::requests {
+
+namespace {
+
+constexpr std::uint64_t bitsPerWord = 64;
+
+std::size_t sizeOfAnswer(const StoredResult& result)
+{
+    std::size_t bytes = result.body.size();
+    for (const auto& [name, value] : result.headers)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
+/// Same result without headers and body, which still says how the request ended. Results other than answers have
+/// neither.
+StoredResult withoutAnswer(const StoredResult& result)
+{
+    StoredResult reduced;
+    reduced.code = result.code;
+    reduced.httpStatus = result.httpStatus;
+    reduced.bodyKept = outcomeOf(result.code) != Outcome::Answered;
+    return reduced;
+}
+
+} // namespace
+
+std::optional<IssuedRange> ExecutionTable::issue(std::uint64_t count, TimePoint now)
+{
+    return this->issuer.issue(count, now);
+}
+
+BeginResult ExecutionTable::begin(std::uint64_t sequence, const Hash128& requestHash, TimePoint now, Waiter waiter)
+{
+    this->expire(now);
+    if (sequence < this->issuer.floor())
+        return Expired {};
+    if (sequence >= this->issuer.next())
+        return NeverIssued {};
+
+    const auto found = this->records.find(sequence);
+    if (found != this->records.end()) {
+        Record& record = found->second;
+        if (!(record.requestHash == requestHash))
+            return Mismatch {};
+        if (record.result)
+            return Finished { record.result };
+        if (record.waiting.size() >= this->limits.waitersPerRecord)
+            return TooManyWaiters {};
+        record.waiting.push_back({ ++this->lastTicket, std::move(waiter) });
+        return Wait { this->lastTicket };
+    }
+
+    if (this->isRefused(sequence))
+        return TableFull {};
+    if (this->records.size() >= this->limits.records && !this->freeOneRecord()) {
+        // Without this mark a later copy could be started after its caller was told that it was not run.
+        this->markRefused(sequence);
+        return TableFull {};
+    }
+    this->records.emplace(sequence, Record { requestHash, {}, {} });
+    ++this->running;
+    return Started {};
+}
+
+FinishResult ExecutionTable::finish(std::uint64_t sequence, StoredResult result, TimePoint now)
+{
+    const auto found = this->records.find(sequence);
+    if (found == this->records.end())
+        return {};
+    Record& record = found->second;
+    if (record.result)
+        return { record.result, {} };
+
+    const bool isAnswer = outcomeOf(result.code) == Outcome::Answered;
+    const std::size_t bytes = sizeOfAnswer(result);
+    const bool isKept = isAnswer && result.bodyKept && bytes <= this->limits.bodyBytes;
+    record.result = std::make_shared<const StoredResult>(isKept ? std::move(result) : withoutAnswer(result));
+    --this->running;
+
+    FinishResult finished { record.result, {} };
+    for (WaitingCopy& copy : record.waiting) {
+        if (copy.waiter)
+            finished.waiters.push_back(std::move(copy.waiter));
+    }
+    record.waiting = {};
+
+    if (sequence < this->issuer.floor())
+        this->records.erase(found);
+    else if (outcomeOf(finished.result->code) == Outcome::NotRun)
+        this->notRunOrder.push_back(sequence);
+    else if (isKept && bytes > 0)
+        this->keepBytes(sequence, bytes);
+    this->expire(now);
+    return finished;
+}
+
+bool ExecutionTable::cancelWait(std::uint64_t sequence, std::uint64_t ticket)
+{
+    const auto found = this->records.find(sequence);
+    if (found == this->records.end())
+        return false;
+    return std::erase_if(found->second.waiting, [ticket](const WaitingCopy& copy) { return copy.ticket == ticket; })
+        > 0;
+}
+
+void ExecutionTable::expire(TimePoint now)
+{
+    this->issuer.expire(now);
+    const std::uint64_t floor = this->issuer.floor();
+    if (this->discardedBelow == floor)
+        return;
+
+    this->discardRecordsBelow(floor);
+    std::erase_if(this->notRunOrder, [floor](std::uint64_t sequence) { return sequence < floor; });
+    std::erase_if(this->keptOrder, [this, floor](const auto& entry) {
+        if (entry.first >= floor)
+            return false;
+        this->kept -= entry.second;
+        return true;
+    });
+    while (!this->refusedBits.empty() && this->refusedBase + bitsPerWord <= floor) {
+        this->refusedBits.pop_front();
+        this->refusedBase += bitsPerWord;
+    }
+    this->discardedBelow = floor;
+}
+
+std::size_t ExecutionTable::memoryBytes() const
+{
+    // A node of the map holds the entry and a link; a stored result is one allocation with its control block.
+    constexpr std::size_t nodeBytes = sizeof(Records::value_type) + sizeof(void*);
+    constexpr std::size_t resultBytes = sizeof(StoredResult) + 2 * sizeof(void*);
+    return this->records.size() * (nodeBytes + resultBytes) + this->records.bucket_count() * sizeof(void*) + this->kept
+        + this->notRunOrder.size() * sizeof(std::uint64_t)
+        + this->keptOrder.size() * sizeof(std::pair<std::uint64_t, std::size_t>)
+        + this->refusedBits.size() * sizeof(std::uint64_t);
+}
+
+bool ExecutionTable::isRefused(std::uint64_t sequence) const
+{
+    if (sequence < this->refusedBase)
+        return false;
+    const std::uint64_t offset = sequence - this->refusedBase;
+    if (offset / bitsPerWord >= this->refusedBits.size())
+        return false;
+    return ((this->refusedBits[offset / bitsPerWord] >> (offset % bitsPerWord)) & 1U) != 0;
+}
+
+void ExecutionTable::markRefused(std::uint64_t sequence)
+{
+    if (this->refusedBits.empty())
+        this->refusedBase = this->issuer.floor() / bitsPerWord * bitsPerWord;
+    const std::uint64_t offset = sequence - this->refusedBase;
+    if (offset / bitsPerWord >= this->refusedBits.size())
+        this->refusedBits.resize(offset / bitsPerWord + 1, 0);
+    this->refusedBits[offset / bitsPerWord] |= std::uint64_t { 1 } << (offset % bitsPerWord);
+}
+
+bool ExecutionTable::freeOneRecord()
+{
+    if (this->notRunOrder.empty())
+        return false;
+    const std::uint64_t sequence = this->notRunOrder.front();
+    this->notRunOrder.pop_front();
+    this->markRefused(sequence);
+    this->records.erase(sequence);
+    return true;
+}
+
+void ExecutionTable::discardRecordsBelow(std::uint64_t floor)
+{
+    const auto isDiscarded
+        = [floor](const Records::value_type& entry) { return entry.first < floor && entry.second.result; };
+    // The sequences that expire within one second are usually far fewer than the records.
+    if (floor - this->discardedBelow >= this->records.size()) {
+        std::erase_if(this->records, isDiscarded);
+        return;
+    }
+    for (std::uint64_t sequence = this->discardedBelow; sequence < floor; ++sequence) {
+        const auto found = this->records.find(sequence);
+        if (found != this->records.end() && isDiscarded(*found))
+            this->records.erase(found);
+    }
+}
+
+void ExecutionTable::keepBytes(std::uint64_t sequence, std::size_t bytes)
+{
+    this->keptOrder.emplace_back(sequence, bytes);
+    this->kept += bytes;
+    while (this->kept > this->limits.keptBytes)
+        this->dropOldestBytes();
+}
+
+void ExecutionTable::dropOldestBytes()
+{
+    const auto [sequence, bytes] = this->keptOrder.front();
+    this->keptOrder.pop_front();
+    this->kept -= bytes;
+    const auto found = this->records.find(sequence);
+    if (found != this->records.end())
+        found->second.result = std::make_shared<const StoredResult>(withoutAnswer(*found->second.result));
+}
+
+} // namespace clementinefall::requests
--- /dev/null
+++ b/src/libs/requests/executiontable.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "base/hash.h"
+#include "requests/identity.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace clementinefall::requests {
+
+/// Final result of one execution, as told to every copy of the request. Its code never changes after it is stored.
+/// Headers and body are kept for answers only.
+struct StoredResult {
+    ResultCode code = ResultCode::UnknownNotDecided;
+    unsigned httpStatus = 0; ///< Of the backend server; 0 without an answer.
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    bool bodyKept = true; ///< False when the body was too large, or was dropped to free memory.
+};
+
+using StoredResultPtr = std::shared_ptr<const StoredResult>;
+
+/// Called with the result of the first copy. The owner of the table calls it without holding the table's mutex.
+using Waiter = std::function<void(const StoredResultPtr&)>;
+
+/// The caller must dispatch the request and then call finish() exactly once.
+struct Started { };
+
+/// Another copy is being executed; the waiter is registered under `ticket`.
+struct Wait {
+    std::uint64_t ticket = 0;
+};
+
+/// The request has a final result.
+struct Finished {
+    StoredResultPtr result;
+};
+
+/// The identity was used before for another request. Nothing is run.
+struct Mismatch { };
+
+/// The identity is older than its lifetime. Nothing is run, but an earlier copy may have been.
+struct Expired { };
+
+/// The sequence has not been issued. Nothing is run; it may still be issued to somebody later.
+struct NeverIssued { };
+
+/// No record is free. The identity is refused for good: every later copy gets TableFull too.
+struct TableFull { };
+
+/// Too many copies wait for the same result. Nothing is run for this copy.
+struct TooManyWaiters { };
+
+using BeginResult = std::variant<Started, Wait, Finished, Mismatch, Expired, NeverIssued, TableFull, TooManyWaiters>;
+
+struct ExecutionLimits {
+    std::size_t records = 65536;
+    std::size_t keptBytes = 24U * 1024 * 1024; ///< All kept headers and bodies together.
+    std::size_t bodyBytes = 64U * 1024; ///< Headers and body of one result.
+    std::size_t waitersPerRecord = 16;
+};
+
+/// Result that is in force after finish(), and the copies to tell.
+struct FinishResult {
+    StoredResultPtr result;
+    std::vector<Waiter> waiters;
+};
+
+/// Records which issued identities were started and how they ended. Owned and locked by one user; not thread-safe.
+///
+/// That a sequence was started is remembered until the sequence expires; records are never evicted before. When the
+/// kept bytes exceed their limit, headers and bodies are dropped, oldest first. When no record is free, the oldest
+/// record that ended as not run is reduced to one bit, which still refuses every later copy; so a burst of refusals
+/// does not use up the records.
+class ExecutionTable {
+public:
+    explicit ExecutionTable(ExecutionLimits tableLimits = {}, IdentityIssuer identityIssuer = IdentityIssuer())
+        : limits(tableLimits)
+        , issuer(std::move(identityIssuer))
+    {
+    }
+
+    /// Issues \a count identities, or none while too many are open.
+    std::optional<IssuedRange> issue(std::uint64_t count, TimePoint now);
+
+    /// Registers the arrival of a copy. \a requestHash covers method, path and body. \a waiter is kept only when the
+    /// result is Wait.
+    BeginResult begin(std::uint64_t sequence, const Hash128& requestHash, TimePoint now, Waiter waiter = {});
+
+    /// Stores the final result of a started sequence. A sequence that is already final keeps its first result, which
+    /// is returned; `result` is empty when there is no record.
+    FinishResult finish(std::uint64_t sequence, StoredResult result, TimePoint now);
+
+    /// Forgets a waiter whose caller has left. Returns false when it was told already.
+    bool cancelWait(std::uint64_t sequence, std::uint64_t ticket);
+
+    /// Discards the records of expired sequences. Running ones stay until they finish.
+    void expire(TimePoint now);
+
+    std::uint64_t floor() const { return this->issuer.floor(); }
+    std::uint64_t nextSequence() const { return this->issuer.next(); }
+    std::size_t recordCount() const { return this->records.size(); }
+    std::size_t runningCount() const { return this->running; }
+    std::size_t keptBytes() const { return this->kept; }
+
+    /// Estimate of all memory in use, in bytes.
+    std::size_t memoryBytes() const;
+
+private:
+    struct WaitingCopy {
+        std::uint64_t ticket = 0;
+        Waiter waiter;
+    };
+    struct Record {
+        Hash128 requestHash;
+        StoredResultPtr result; ///< Empty while running.
+        std::vector<WaitingCopy> waiting;
+    };
+    using Records = std::unordered_map<std::uint64_t, Record>;
+
+    bool isRefused(std::uint64_t sequence) const;
+    void markRefused(std::uint64_t sequence);
+    bool freeOneRecord();
+    void discardRecordsBelow(std::uint64_t floor);
+    void keepBytes(std::uint64_t sequence, std::size_t bytes);
+    void dropOldestBytes();
+
+    ExecutionLimits limits;
+    IdentityIssuer issuer;
+    Records records;
+    std::size_t running = 0;
+    std::size_t kept = 0;
+    std::uint64_t lastTicket = 0;
+    std::uint64_t discardedBelow = 1; ///< All finished records below it are discarded.
+    std::deque<std::uint64_t> notRunOrder; ///< Sequences with a not-run record, oldest result first.
+    std::deque<std::pair<std::uint64_t, std::size_t>> keptOrder; ///< Sequence and kept bytes, oldest result first.
+    std::deque<std::uint64_t> refusedBits; ///< One bit for each sequence from refusedBase on.
+    std::uint64_t refusedBase = 0; ///< Multiple of 64.
+};
+
+} // namespace clementinefall::requests
--- /dev/null
+++ b/src/libs/requests/requeststeps.cpp
@@ -0,0 +1,131 @@
+#include "requests/requeststeps.h"
+
+#include <utility>
+
+namespace clementinefall::requests {
+
+IdentityRoute routeIdentity(
+    const Identity& identity, std::string_view ownInstance, std::uint64_t ownIncarnation, bool isForwarded)
+{
+    if (identity.instance != ownInstance)
+        return isForwarded ? IdentityRoute::NotHomeAgain : IdentityRoute::Forward;
+    return identity.incarnation == ownIncarnation ? IdentityRoute::Home : IdentityRoute::HomeReplaced;
+}
+
+ResultCode codeOfRefusal(RequestRole role, ResultCode reason)
+{
+    return role == RequestRole::Forwarder ? ResultCode::UnknownNotDecided : reason;
+}
+
+ResultCode codeOfForward(ForwardEnd end, ResultCode homeCode)
+{
+    switch (end) {
+    case ForwardEnd::HomeAnswered:
+        return homeCode;
+    case ForwardEnd::HomeNotKnown:
+    case ForwardEnd::ConnectRefused:
+    case ForwardEnd::NothingWritten:
+        return ResultCode::UnknownHomeUnreachable;
+    case ForwardEnd::HomeReplaced:
+        return ResultCode::UnknownHomeReplaced;
+    case ForwardEnd::WrittenAndLost:
+        return ResultCode::UnknownConnectionLost;
+    case ForwardEnd::TimedOut:
+        return ResultCode::UnknownTimeout;
+    case ForwardEnd::AnswerCut:
+        return ResultCode::UnknownAnswerCut;
+    case ForwardEnd::AnswerInvalid:
+        return ResultCode::UnknownAnswerInvalid;
+    case ForwardEnd::CallerLeft:
+        return ResultCode::UnknownCancelled;
+    }
+    return ResultCode::UnknownNotDecided;
+}
+
+HomeStep homeBegin(ExecutionTable& table, std::uint64_t sequence, const Hash128& requestHash,
+    std::optional<ResultCode> refusal, TimePoint now, Waiter waiter)
+{
+    const BeginResult begun = table.begin(sequence, requestHash, now, std::move(waiter));
+    if (std::holds_alternative<Started>(begun)) {
+        if (!refusal)
+            return RunRequest {};
+        StoredResult refused;
+        refused.code = *refusal;
+        const FinishResult finished = homeFinish(table, sequence, std::move(refused), now);
+        return ReplyNow { finished.result->code, finished.result };
+    }
+    if (const auto* wait = std::get_if<Wait>(&begun))
+        return AwaitResult { wait->ticket };
+    if (const auto* finished = std::get_if<Finished>(&begun))
+        return ReplyNow { codeForCopy(*finished->result), finished->result };
+    if (std::holds_alternative<Mismatch>(begun))
+        return ReplyNow { ResultCode::IdentityBodyMismatch, {} };
+    if (std::holds_alternative<Expired>(begun))
+        return ReplyNow { ResultCode::UnknownIdentityExpired, {} };
+    if (std::holds_alternative<TableFull>(begun))
+        return ReplyNow { ResultCode::NotRunRecordTableFull, {} };
+    // A sequence that has not been issued may be issued and run later, so it cannot be told as not run.
+    return ReplyNow { ResultCode::UnknownNotDecided, {} };
+}
+
+StoredResult resultOfAttempts(std::span<const AttemptEnd> ends, ResultCode withoutAttempt, StoredResult answer)
+{
+    const ResultCode code = codeOfAttempts(ends, withoutAttempt);
+    if (code == ResultCode::Answered) {
+        answer.code = code;
+        return answer;
+    }
+    StoredResult result;
+    result.code = code;
+    return result;
+}
+
+FinishResult homeFinish(ExecutionTable& table, std::uint64_t sequence, StoredResult result, TimePoint now)
+{
+    FinishResult finished = table.finish(sequence, std::move(result), now);
+    if (!finished.result)
+        finished.result = std::make_shared<const StoredResult>();
+    return finished;
+}
+
+ResultCode codeForCopy(const StoredResult& result)
+{
+    if (result.code != ResultCode::Answered)
+        return result.code;
+    return result.bodyKept ? ResultCode::AnsweredFromRecord : ResultCode::AnsweredBodyNotKept;
+}
+
+AttemptEnd classifyAnswer(const ReceivedAnswer& answer)
+{
+    if (!answer.isWellFormed)
+        return AttemptEnd::AnswerInvalid;
+    const bool isMissing = answer.echoedIdentity.empty();
+    if (isMissing ? answer.isEchoRequired : answer.echoedIdentity != answer.expectedIdentity)
+        return AttemptEnd::AnswerInvalid;
+    return answer.isComplete ? AttemptEnd::Answered : AttemptEnd::AnswerCut;
+}
+
+AttemptEnd classifyExecutorCode(ResultCode executorCode)
+{
+    switch (outcomeOf(executorCode)) {
+    case Outcome::Answered:
+        return AttemptEnd::Answered;
+    case Outcome::NotRun:
+        return AttemptEnd::RefusedByPeer;
+    case Outcome::Unknown:
+        break;
+    }
+    if (executorCode == ResultCode::UnknownConnectionLost)
+        return AttemptEnd::WrittenAndLost;
+    if (executorCode == ResultCode::UnknownAnswerCut)
+        return AttemptEnd::AnswerCut;
+    if (executorCode == ResultCode::UnknownAnswerInvalid)
+        return AttemptEnd::AnswerInvalid;
+    if (executorCode == ResultCode::UnknownCancelled)
+        return AttemptEnd::CancelledSent;
+    if (executorCode == ResultCode::UnknownTimeout)
+        return AttemptEnd::TimedOut;
+    return AttemptEnd::NotDecided;
+}
+
+} // namespace clementinefall::requests
