Add quarantine, key ranges, connection health and the history checker

Change: requests/quarantine, keyrange, latencywindow, connectionhealth and historychecker, unit tests for all of them, and a differential test of the execution table against a naive map. A planned stop lowers the ceiling of a key range, so that the replacement need not wait for the wall clock to pass it.

--- /dev/null
+++ b/src/libs/requests/keyrange.cpp
@@ -0,0 +1,140 @@
+#include "requests/keyrange.h"
+
+#include <chrono>
+
+namespace clementinefall::requests {
+
+namespace {
+
+constexpr std::int64_t aheadMs = std::chrono::duration_cast<milliseconds>(keyRangeAhead).count();
+constexpr std::int64_t leadMs = std::chrono::duration_cast<milliseconds>(keyRangeLead).count();
+
+bool isVisibleAscii(char c) { return c > ' ' && c < '\x7f'; }
+
+} // namespace
+
+std::string_view homeOfKey(std::string_view key, std::span<const std::string> instanceNames)
+{
+    const std::uint64_t keyHash = hash64(key);
+    std::string_view home;
+    std::uint64_t highest = 0;
+    for (const std::string& name : instanceNames) {
+        const std::uint64_t score = hash64(name, keyHash);
+        if (home.empty() || score > highest || (score == highest && name < home)) {
+            home = name;
+            highest = score;
+        }
+    }
+    return home;
+}
+
+Status checkKey(std::string_view key)
+{
+    if (key.empty() || key.size() > maximumKeyBytes)
+        return makeError(ResultCode::BadParameter, "an idempotency key has 1 to {} bytes", maximumKeyBytes);
+    if (!std::all_of(key.begin(), key.end(), isVisibleAscii))
+        return makeError(ResultCode::BadParameter, "an idempotency key has visible ASCII characters only");
+    return okStatus();
+}
+
+std::optional<KeyRangeWrite> KeyRangeHolder::wantedWrite(std::int64_t wallNow) const
+{
+    if (!this->known || this->replaced || this->closed)
+        return std::nullopt;
+    const std::int64_t target = wallNow + aheadMs;
+    if (this->holds) {
+        if (this->own.ceiling - wallNow >= leadMs)
+            return std::nullopt;
+        return KeyRangeWrite { this->known->version, { this->incarnation, this->own.floor, target } };
+    }
+    // Without an object no earlier incarnation ran a key. Keys that are older than the first reservation are refused
+    // all the same, because they may have had another home.
+    const std::int64_t floor = this->known->version == 0 ? wallNow : this->known->range.ceiling;
+    return KeyRangeWrite { this->known->version, { this->incarnation, floor, std::max(floor, target) } };
+}
+
+void KeyRangeHolder::read(const StoredKeyRange& stored)
+{
+    this->known = stored;
+    if (stored.version != 0 && stored.range.incarnation == this->incarnation)
+        this->adopt(stored.range);
+    else if (this->holds)
+        this->replaced = true;
+}
+
+void KeyRangeHolder::confirm(const KeyRangeWrite& write, std::uint64_t version)
+{
+    this->known = StoredKeyRange { version, write.range };
+    this->adopt(write.range);
+}
+
+std::optional<KeyRangeWrite> KeyRangeHolder::close()
+{
+    this->closed = true;
+    this->own.ceiling = std::clamp(this->highestStarted, this->own.floor, std::max(this->own.floor, this->own.ceiling));
+    if (!this->known || !this->holds || this->replaced)
+        return std::nullopt;
+    return KeyRangeWrite { this->known->version, { this->incarnation, this->own.floor, this->own.ceiling } };
+}
+
+void KeyRangeHolder::raiseFloor(std::int64_t label) { this->own.floor = std::max(this->own.floor, label); }
+
+void KeyRangeHolder::adopt(const KeyRange& range)
+{
+    if (this->closed)
+        return;
+    this->own.incarnation = range.incarnation;
+    this->own.floor = std::max(this->own.floor, range.floor);
+    this->own.ceiling = std::max(this->own.ceiling, range.ceiling);
+    this->holds = true;
+}
+
+ResultCode codeOfKeyLookup(const KeyLookup& lookup)
+{
+    if (std::holds_alternative<KeyExpired>(lookup))
+        return ResultCode::UnknownIdentityExpired;
+    if (std::holds_alternative<KeyLabelMismatch>(lookup))
+        return ResultCode::IdentityBodyMismatch;
+    return ResultCode::UnknownNotDecided;
+}
+
+KeyLookup KeyTable::find(
+    std::string_view key, std::int64_t label, KeyRangeHolder& range, ExecutionTable& table, TimePoint now)
+{
+    table.expire(now);
+    this->discardBelow(table.floor(), range);
+    const std::string name(key);
+    const auto found = this->keys.find(name);
+    if (found != this->keys.end()) {
+        if (found->second.label != label)
+            return KeyLabelMismatch {};
+        return KeySequence { found->second.sequence };
+    }
+    if (label <= range.floor())
+        return KeyExpired {};
+    if (label > range.ceiling())
+        return KeyNotYetValid {};
+    if (this->keys.size() >= this->limit)
+        return KeyTableFull {};
+    const auto issued = table.issue(1, now);
+    if (!issued)
+        return KeyTableFull {};
+    range.noteStarted(label);
+    this->keys.emplace(name, Entry { issued->first, label });
+    return KeySequence { issued->first };
+}
+
+void KeyTable::discardBelow(std::uint64_t sequenceFloor, KeyRangeHolder& range)
+{
+    if (sequenceFloor <= this->discardedBelow)
+        return;
+    this->discardedBelow = sequenceFloor;
+    std::erase_if(this->keys, [sequenceFloor, &range](const auto& entry) {
+        if (entry.second.sequence >= sequenceFloor)
+            return false;
+        range.raiseFloor(entry.second.label);
+        return true;
+    });
+}
+
+} // namespace clementinefall::requests
--- /dev/null
+++ b/src/libs/requests/tst_executiontable.cpp
@@ -0,0 +1,195 @@
+#include "requests/executiontable.h"
+
+#include "base/random.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace clementinefall;
+using namespace clementinefall::requests;
+
+namespace {
+
+const TimePoint start = TimePoint {} + std::chrono::hours(1);
+const Hash128 hashA { 1, 1 };
+
+StoredResult resultWith(ResultCode code, std::size_t bytes = 0)
+{
+    StoredResult result;
+    result.code = code;
+    result.body = std::string(bytes, 'x');
+    return result;
+}
+
+/// Straightforward version without limits: one map, nothing is evicted before its sequence expires.
+class NaiveTable {
+public:
+    explicit NaiveTable(IdentityIssuer naiveIssuer)
+        : issuer(std::move(naiveIssuer))
+    {
+    }
+
+    std::size_t begin(std::uint64_t sequence, const Hash128& hash, TimePoint now, bool isFull)
+    {
+        this->issuer.expire(now);
+        if (sequence < this->issuer.floor())
+            return BeginResult(Expired {}).index();
+        if (sequence >= this->issuer.next())
+            return BeginResult(NeverIssued {}).index();
+        const auto found = this->entries.find(sequence);
+        if (found == this->entries.end()) {
+            this->entries[sequence] = { hash, std::nullopt, isFull, 0 };
+            return isFull ? BeginResult(TableFull {}).index() : BeginResult(Started {}).index();
+        }
+        Entry& entry = found->second;
+        if (entry.isRefused)
+            return BeginResult(TableFull {}).index();
+        if (!(entry.hash == hash))
+            return BeginResult(Mismatch {}).index();
+        if (entry.code)
+            return BeginResult(Finished {}).index();
+        ++entry.waiting;
+        return BeginResult(Wait {}).index();
+    }
+
+    struct Entry {
+        Hash128 hash;
+        std::optional<ResultCode> code;
+        bool isRefused = false;
+        std::size_t waiting = 0;
+    };
+    IdentityIssuer issuer;
+    std::map<std::uint64_t, Entry> entries;
+};
+
+} // namespace
+
+TEST_CASE("The execution table agrees with a naive map on random schedules")
+{
+    // Guards against every loss of the fact that a sequence was started, ended or refused.
+    const auto seed = GENERATE(1U, 2U, 3U, 4U, 5U, 6U);
+    Random random(seed);
+    ExecutionLimits limits;
+    limits.records = seed % 2 == 0 ? 40 : 100000;
+    limits.keptBytes = 4000;
+    limits.bodyBytes = 1000;
+    limits.waitersPerRecord = 1000;
+    const IdentityIssuer issuer(seconds(60), 200);
+    ExecutionTable table(limits, issuer);
+    NaiveTable naive(issuer);
+    TimePoint now = start;
+    std::map<std::size_t, unsigned> seen;
+
+    for (unsigned step = 0; step < 20000; ++step) {
+        now += milliseconds(randomBelow(random, 300));
+        const std::uint64_t count = 1 + randomBelow(random, 3);
+        if (randomBelow(random, 3) == 0)
+            REQUIRE(table.issue(count, now).has_value() == naive.issuer.issue(count, now).has_value());
+        const std::uint64_t lowest = table.floor() > 5 ? table.floor() - 5 : 1;
+        const std::uint64_t sequence = lowest + randomBelow(random, table.nextSequence() - lowest + 3);
+        if (randomBelow(random, 2) == 0) {
+            const Hash128 hash { 1, randomBelow(random, 20) == 0 ? 2U : 1U };
+            const BeginResult begun = table.begin(sequence, hash, now, [](const StoredResultPtr&) {});
+            const bool isFull = std::holds_alternative<TableFull>(begun);
+            const auto known = naive.entries.find(sequence);
+            // A not-run result may turn into TableFull, which is not run too; nothing else may change.
+            const bool isReduced = isFull && known != naive.entries.end() && known->second.code
+                && outcomeOf(*known->second.code) == Outcome::NotRun;
+            if (isReduced)
+                known->second.isRefused = true;
+            REQUIRE(begun.index() == naive.begin(sequence, hash, now, isFull));
+            if (const auto* finished = std::get_if<Finished>(&begun))
+                REQUIRE(finished->result->code == naive.entries.at(sequence).code);
+            ++seen[begun.index()];
+        } else {
+            const auto known = naive.entries.find(sequence);
+            const bool isRunning = known != naive.entries.end() && !known->second.code && !known->second.isRefused;
+            const std::array codes { ResultCode::Answered, ResultCode::NotRunNoServer, ResultCode::UnknownTimeout };
+            const ResultCode code = codes[randomBelow(random, codes.size())];
+            const FinishResult finished = table.finish(sequence, resultWith(code, randomBelow(random, 1500)), now);
+            if (isRunning) {
+                REQUIRE(finished.result->code == code);
+                REQUIRE(finished.waiters.size() == known->second.waiting);
+                known->second.code = code;
+            } else {
+                REQUIRE(finished.waiters.empty());
+            }
+        }
+        REQUIRE(table.keptBytes() <= limits.keptBytes);
+        REQUIRE(table.recordCount() <= limits.records);
+    }
+    CHECK(seen.size() >= 6);
+    CHECK((seen[BeginResult(TableFull {}).index()] > 0) == (seed % 2 == 0));
+}
+
+TEST_CASE("Limits of the execution table")
+{
+    ExecutionLimits limits;
+    limits.records = 2;
+    limits.keptBytes = 100;
+    limits.bodyBytes = 60;
+    limits.waitersPerRecord = 1;
+    ExecutionTable table(limits);
+    table.issue(10, start);
+    const auto isStarted
+        = [&](std::uint64_t sequence) { return std::holds_alternative<Started>(table.begin(sequence, hashA, start)); };
+    const auto isRefused = [&](std::uint64_t sequence) {
+        return std::holds_alternative<TableFull>(table.begin(sequence, hashA, start));
+    };
+    REQUIRE(isStarted(1));
+    REQUIRE(isStarted(2));
+
+    SECTION("a refusal for lack of records outlives the lack")
+    {
+        REQUIRE(isRefused(3));
+        table.finish(1, resultWith(ResultCode::NotRunNoServer), start);
+        CHECK(isRefused(3));
+        CHECK(isStarted(4));
+        CHECK(isRefused(1));
+    }
+
+    SECTION("records of started requests are never evicted")
+    {
+        table.finish(1, resultWith(ResultCode::Answered, 10), start);
+        table.finish(2, resultWith(ResultCode::UnknownTimeout), start);
+        CHECK(isRefused(3));
+        CHECK(std::holds_alternative<Finished>(table.begin(1, hashA, start)));
+        CHECK(std::holds_alternative<Finished>(table.begin(2, hashA, start)));
+    }
+
+    SECTION("the oldest body is dropped first, and the answer stays known")
+    {
+        table.finish(1, resultWith(ResultCode::Answered, 60), start);
+        table.finish(2, resultWith(ResultCode::Answered, 60), start);
+        const auto first = std::get<Finished>(table.begin(1, hashA, start)).result;
+        const auto second = std::get<Finished>(table.begin(2, hashA, start)).result;
+        CHECK(first->code == ResultCode::Answered);
+        CHECK_FALSE(first->bodyKept);
+        CHECK(second->body.size() == 60);
+        CHECK(table.keptBytes() == 60);
+    }
+
+    SECTION("a body above the limit is not kept and a second finish changes nothing")
+    {
+        CHECK_FALSE(table.finish(1, resultWith(ResultCode::Answered, 61), start).result->bodyKept);
+        CHECK(table.finish(1, resultWith(ResultCode::NotRunNoServer), start).result->code == ResultCode::Answered);
+    }
+
+    SECTION("waiters are bounded and may leave")
+    {
+        const auto begun = table.begin(1, hashA, start, [](const StoredResultPtr&) {});
+        CHECK(std::holds_alternative<TooManyWaiters>(table.begin(1, hashA, start)));
+        CHECK(table.cancelWait(1, std::get<Wait>(begun).ticket));
+        CHECK(table.finish(1, resultWith(ResultCode::Answered), start).waiters.empty());
+    }
+
+    SECTION("a running request that outlives its identity ends, and is not started again")
+    {
+        const TimePoint late = start + identityLifetime + seconds(2);
+        CHECK(std::holds_alternative<Expired>(table.begin(1, hashA, late)));
+        CHECK(table.finish(1, resultWith(ResultCode::NotRunNoServer), late).result->code == ResultCode::NotRunNoServer);
+        CHECK(std::holds_alternative<Expired>(table.begin(1, hashA, late)));
+        CHECK(table.recordCount() == 1);
+    }
+}
--- /dev/null
+++ b/src/libs/requests/tst_retrybudget.cpp
@@ -0,0 +1,156 @@
+#include "requests/retrybudget.h"
+
+#include "base/random.h"
+#include "requests/latencywindow.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+using namespace clementinefall;
+using namespace clementinefall::requests;
+
+namespace {
+
+const TimePoint start = TimePoint {} + std::chrono::hours(1);
+
+void fill(RetryBudget& budget, unsigned firstAttempts)
+{
+    for (unsigned i = 0; i < firstAttempts; ++i)
+        budget.noteFirstAttempt(start);
+}
+
+RetryState stateAfter(const std::vector<AttemptEnd>& ended, bool isIdempotent)
+{
+    RetryState state;
+    state.isIdempotent = isIdempotent;
+    state.ended = ended;
+    state.left = seconds(1);
+    state.expected = milliseconds(10);
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("Retry budget")
+{
+    SECTION("no window of 10 s that ends with an extra attempt holds more than a tenth of its first attempts")
+    {
+        Random random(11);
+        RetryBudget budget;
+        std::deque<TimePoint> first;
+        std::deque<TimePoint> extra;
+        unsigned granted = 0;
+        unsigned firstTotal = 0;
+        TimePoint now = start;
+        for (unsigned step = 0; step < 40000; ++step) {
+            // Bursts and gaps, so that rounding at the window's old end matters.
+            const bool isBurst = step / 500 % 2 == 0;
+            now += microseconds(randomBelow(random, isBurst ? 2000 : 60000));
+            if (randomBelow(random, 3) > 0) {
+                budget.noteFirstAttempt(now);
+                first.push_back(now);
+                ++firstTotal;
+                continue;
+            }
+            if (!budget.takeExtraAttempt(now))
+                continue;
+            extra.push_back(now);
+            ++granted;
+            const auto isOld = [now](TimePoint time) { return now - time >= seconds(10); };
+            std::erase_if(first, isOld);
+            std::erase_if(extra, isOld);
+            REQUIRE(extra.size() * 10 <= first.size());
+        }
+        CHECK(granted * 10 <= firstTotal);
+        CHECK(granted * 12 >= firstTotal);
+    }
+
+    SECTION("a pause empties the window")
+    {
+        RetryBudget budget;
+        fill(budget, 100);
+        CHECK(budget.available(start + seconds(9)) == 10);
+        CHECK(budget.available(start + seconds(11)) == 0);
+    }
+}
+
+TEST_CASE("Retry decisions")
+{
+    RetryBudget budget;
+    fill(budget, 10);
+    const auto decide = [&budget](const RetryState& state) { return decideRetry(state, budget, start); };
+
+    SECTION("a non-idempotent request is retried after a proven not run only")
+    {
+        const std::vector lost { AttemptEnd::WrittenAndLost };
+        const std::vector refused { AttemptEnd::ConnectRefused };
+        CHECK(decide(stateAfter(lost, false)).code == ResultCode::UnknownConnectionLost);
+        CHECK(budget.available(start) == 1);
+        CHECK(decide(stateAfter(refused, false)).verdict == RetryVerdict::Retry);
+        CHECK(decide(stateAfter(refused, false)).code == ResultCode::NotRunRetryBudget);
+    }
+
+    SECTION("an idempotent request is retried after an unknown end, but never reported as not run after one")
+    {
+        const std::vector lost { AttemptEnd::TimedOut, AttemptEnd::ConnectRefused };
+        RetryState state = stateAfter(lost, true);
+        CHECK(decide(state).verdict == RetryVerdict::Retry);
+        CHECK(decide(state).code == ResultCode::UnknownTimeout);
+        state.left = milliseconds(5);
+        CHECK(decide(state).code == ResultCode::UnknownTimeout);
+    }
+
+    SECTION("a running hedge is awaited, and nothing is retried once the caller has part of an answer")
+    {
+        const std::vector cut { AttemptEnd::AnswerCut };
+        RetryState state = stateAfter(cut, true);
+        state.running = 1;
+        CHECK(decide(state).verdict == RetryVerdict::WaitForRunning);
+        state.answerStarted = true;
+        CHECK(decide(state).verdict == RetryVerdict::Stop);
+        CHECK(budget.available(start) == 1);
+    }
+
+    SECTION("hedges are for slow idempotent requests and spend the same budget")
+    {
+        HedgeState state;
+        state.isIdempotent = true;
+        state.waited = milliseconds(19);
+        state.delay = milliseconds(20);
+        state.left = seconds(1);
+        CHECK_FALSE(decideHedge(state, budget, start));
+        state.waited = milliseconds(20);
+        CHECK(decideHedge(state, budget, start));
+        CHECK_FALSE(decideHedge(state, budget, start));
+    }
+
+    SECTION("each hop leaves time for its answer to travel back")
+    {
+        const TimePoint deadline = deadlineOf(start, milliseconds(5000), milliseconds(2000));
+        CHECK(deadline == start + seconds(2));
+        CHECK(deadlineForNextHop(deadline, start + milliseconds(500), milliseconds(55)) == milliseconds(1390));
+        CHECK_FALSE(deadlineForNextHop(deadline, start + milliseconds(1890), milliseconds(55)).has_value());
+    }
+}
+
+TEST_CASE("Latency quantiles are at most an eighth too high")
+{
+    Random random(5);
+    LatencyWindow window;
+    std::vector<Duration> exact;
+    CHECK_FALSE(window.quantile(0.95, start).has_value());
+    for (unsigned i = 0; i < 5000; ++i) {
+        exact.push_back(microseconds(100 + randomBelow(random, 1U << (8 + i % 12))));
+        window.add(exact.back(), start);
+    }
+    std::sort(exact.begin(), exact.end());
+    for (const double q : { 0.1, 0.5, 0.95, 0.999 }) {
+        const Duration truth = exact[static_cast<std::size_t>(q * 5000) - 1];
+        CHECK(*window.quantile(q, start) >= truth);
+        CHECK(*window.quantile(q, start) <= truth + truth / 8 + microseconds(64));
+    }
+    CHECK_FALSE(window.quantile(0.5, start + seconds(30)).has_value());
+}
