--- /dev/null
+++ b/src/libs/steering/routing.cpp
@@ -0,0 +1,351 @@
+#include "steering/routing.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace clementinefall::steering {
+
+namespace {
+
+void indexZones(RoutingSnapshot& snapshot, const bundle::Bundle& bundle)
+{
+    for (const bundle::Zone& zone : bundle.zones) {
+        const auto [region, isNew]
+            = snapshot.regionIndex.try_emplace(zone.region, static_cast<Index>(snapshot.regions.size()));
+        if (isNew)
+            snapshot.regions.push_back({ zone.region, {}, {} });
+        const auto position = static_cast<Index>(snapshot.zones.size());
+        if (!snapshot.zoneIndex.try_emplace(zone.name, position).second)
+            continue;
+        snapshot.zones.push_back({ zone.name, region->second, false, {} });
+        snapshot.regions[region->second].zones.push_back(position);
+    }
+}
+
+void indexLinks(RoutingSnapshot& snapshot, const bundle::Bundle& bundle)
+{
+    const std::size_t count = snapshot.regions.size();
+    snapshot.delays.assign(count * count, unknownDelay);
+    for (std::size_t region = 0; region < count; ++region)
+        snapshot.delays[region * count + region] = milliseconds(0);
+    for (const bundle::LinkBudget& link : bundle.links) {
+        const auto from = find(snapshot.regionIndex, link.from);
+        const auto to = find(snapshot.regionIndex, link.to);
+        if (!from || !to || *from == *to)
+            continue;
+        snapshot.links.push_back({ link.from + '/' + link.to, *from, *to, link.bytesPerSecond });
+        snapshot.delays[*from * count + *to] = link.delay;
+    }
+    // A link that is only declared in one direction gives the delay of both.
+    for (std::size_t from = 0; from < count; ++from) {
+        for (std::size_t to = 0; to < count; ++to) {
+            if (snapshot.delays[from * count + to] == unknownDelay)
+                snapshot.delays[from * count + to] = snapshot.delays[to * count + from];
+        }
+    }
+    for (Index from = 0; from < count; ++from) {
+        auto& others = snapshot.regions[from].othersByDelay;
+        for (Index to = 0; to < count; ++to) {
+            if (to != from)
+                others.push_back(to);
+        }
+        std::stable_sort(others.begin(), others.end(),
+            [&](Index a, Index b) { return snapshot.delay(from, a) < snapshot.delay(from, b); });
+    }
+}
+
+struct DrainNames {
+    std::set<std::string_view> servers;
+    std::set<std::string_view> instances;
+    std::set<std::string_view> zones;
+};
+
+DrainNames drainNames(const bundle::Bundle& bundle)
+{
+    DrainNames names;
+    for (const bundle::Drain& drain : bundle.drains) {
+        if (drain.kind == bundle::DrainKind::BackendServer)
+            names.servers.insert(drain.name);
+        else if (drain.kind == bundle::DrainKind::EntryInstance)
+            names.instances.insert(drain.name);
+        else
+            names.zones.insert(drain.name);
+    }
+    return names;
+}
+
+void indexInstances(RoutingSnapshot& snapshot, const bundle::Bundle& bundle, const DrainNames& drains)
+{
+    for (const bundle::EntryInstance& instance : bundle.entryInstances) {
+        const auto zone = find(snapshot.zoneIndex, instance.zone);
+        const auto position = static_cast<Index>(snapshot.instances.size());
+        if (!zone || !snapshot.instanceIndex.try_emplace(instance.name, position).second)
+            continue;
+        const bool isDrained = snapshot.zones[*zone].isDrained || drains.instances.contains(instance.name);
+        snapshot.instances.push_back({ instance.name, *zone, instance.traffic, isDrained });
+        snapshot.zones[*zone].instances.push_back(position);
+    }
+}
+
+void indexServices(RoutingSnapshot& snapshot, const bundle::Bundle& bundle, const DrainNames& drains)
+{
+    for (const bundle::Service& service : bundle.services) {
+        const auto position = static_cast<Index>(snapshot.services.size());
+        if (!snapshot.serviceIndex.try_emplace(service.name, position).second)
+            continue;
+        ServiceRoute route;
+        route.name = service.name;
+        route.requestClass = service.requestClass;
+        route.priority = service.priority;
+        route.deadline = service.deadline;
+        route.maximumBodyBytes = service.maximumBodyBytes;
+        route.serversByZone.resize(snapshot.zones.size());
+        route.slotsByZone.resize(snapshot.zones.size());
+        for (const bundle::BackendServer& server : service.servers) {
+            const auto zone = find(snapshot.zoneIndex, server.zone);
+            if (!zone)
+                continue;
+            const bool isLeaving = snapshot.zones[*zone].isDrained || drains.servers.contains(server.name);
+            route.serversByZone[*zone].push_back(static_cast<Index>(snapshot.servers.size()));
+            route.slotsByZone[*zone] += isLeaving ? 0 : server.slots;
+            snapshot.servers.push_back(
+                { server.name, position, *zone, server.address, server.slots, server.maximumConnections, isLeaving });
+        }
+        snapshot.services.push_back(std::move(route));
+    }
+}
+
+/// Zones of a location, which is the name of a zone or of a region.
+std::vector<bool> zonesOf(const RoutingSnapshot& snapshot, std::string_view location)
+{
+    std::vector<bool> result(snapshot.zones.size());
+    for (std::size_t zone = 0; zone < result.size(); ++zone) {
+        const ZoneRoute& route = snapshot.zones[zone];
+        result[zone] = route.name == location || snapshot.regions[route.region].name == location;
+    }
+    return result;
+}
+
+void indexCaps(RoutingSnapshot& snapshot, const bundle::Bundle& bundle)
+{
+    for (const bundle::ShiftCap& cap : bundle.shiftCaps) {
+        const auto service = find(snapshot.serviceIndex, cap.service);
+        if (!service)
+            continue;
+        snapshot.caps.push_back({ cap.service + '/' + cap.from + '/' + cap.to, *service, zonesOf(snapshot, cap.from),
+            zonesOf(snapshot, cap.to), cap.perSecond, cap.total, cap.epoch });
+    }
+}
+
+/// Weighted random choice of a few instances from a group, in one pass: the smallest of -ln(u) / weight.
+class GroupSample {
+public:
+    explicit GroupSample(std::size_t maximum)
+        : limit(maximum)
+    {
+    }
+
+    void offer(Index instance, double weight, Random& random)
+    {
+        const double key = -std::log(1.0 - randomUnit(random)) / weight;
+        if (this->size == this->limit && key >= this->entries[this->size - 1].key)
+            return;
+        std::size_t at = this->size < this->limit ? this->size++ : this->size - 1;
+        for (; at > 0 && this->entries[at - 1].key > key; --at)
+            this->entries[at] = this->entries[at - 1];
+        this->entries[at] = { key, instance };
+    }
+
+    bool isFull() const { return this->size == this->limit; }
+
+    void addTo(RankedInstances& result) const
+    {
+        for (std::size_t at = 0; at < this->size; ++at)
+            result.add(this->entries[at].instance);
+    }
+
+private:
+    struct Entry {
+        double key = 0;
+        Index instance = 0;
+    };
+
+    std::array<Entry, maximumRankedPerGroup> entries {};
+    std::size_t size = 0;
+    std::size_t limit;
+};
+
+struct Ranking {
+    const RoutingSnapshot& snapshot;
+    const FleetView& view;
+    Random& random;
+
+    void offerZone(Index zone, MemberState state, GroupSample& sample) const
+    {
+        for (const Index instance : this->snapshot.zones[zone].instances) {
+            if (this->snapshot.instances[instance].isDrained || this->view.members[instance] != state)
+                continue;
+            sample.offer(instance, 1.0 + this->view.instanceHeadroom[instance], this->random);
+        }
+    }
+};
+
+/// The other regions in the order in which they are offered. At most as many as a group holds are of use, so the best
+/// ones are kept in a small array and nothing is allocated.
+struct RegionChoice {
+    struct Entry {
+        bool hasCap = false;
+        milliseconds delay { 0 };
+        unsigned headroom = 0;
+        Index region = 0;
+    };
+
+    static bool isBetter(const Entry& a, const Entry& b)
+    {
+        if (a.hasCap != b.hasCap)
+            return a.hasCap;
+        return a.delay != b.delay ? a.delay < b.delay : a.headroom > b.headroom;
+    }
+
+    void offer(const Entry& entry)
+    {
+        if (this->size == this->entries.size() && !isBetter(entry, this->entries[this->size - 1]))
+            return;
+        std::size_t at = this->size < this->entries.size() ? this->size++ : this->size - 1;
+        for (; at > 0 && isBetter(entry, this->entries[at - 1]); --at)
+            this->entries[at] = this->entries[at - 1];
+        this->entries[at] = entry;
+    }
+
+    std::array<Entry, maximumRankedPerGroup> entries {};
+    std::size_t size = 0;
+};
+
+bool hasLiveInstance(const RoutingSnapshot& snapshot, const FleetView& view, Index region)
+{
+    for (const Index zone : snapshot.regions[region].zones) {
+        for (const Index instance : snapshot.zones[zone].instances) {
+            if (!snapshot.instances[instance].isDrained && view.members[instance] == MemberState::Live)
+                return true;
+        }
+    }
+    return false;
+}
+
+bool hasCapTo(const RoutingSnapshot& snapshot, Index service, Index fromZone, Index region)
+{
+    return std::any_of(snapshot.caps.begin(), snapshot.caps.end(), [&](const CapRoute& cap) {
+        const auto& zones = snapshot.regions[region].zones;
+        return cap.service == service && cap.perSecond > 0 && cap.fromZones[fromZone]
+            && std::any_of(zones.begin(), zones.end(), [&](Index zone) { return cap.toZones[zone]; });
+    });
+}
+
+RegionChoice chooseRegions(
+    const RoutingSnapshot& snapshot, Index service, Index callerZone, const FleetView& view, TimePoint now)
+{
+    const Index ownRegion = snapshot.zones[callerZone].region;
+    RegionChoice choice;
+    for (const Index region : snapshot.regions[ownRegion].othersByDelay) {
+        if (!hasLiveInstance(snapshot, view, region))
+            continue;
+        unsigned headroom = 0;
+        for (const Index zone : snapshot.regions[region].zones)
+            headroom += validHeadroom(snapshot, view, service, zone, now);
+        choice.offer(
+            { hasCapTo(snapshot, service, callerZone, region), snapshot.delay(ownRegion, region), headroom, region });
+    }
+    return choice;
+}
+
+} // namespace
+
+std::optional<Index> find(const NameIndex& index, std::string_view name)
+{
+    const auto found = index.find(name);
+    return found == index.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::shared_ptr<const RoutingSnapshot> buildSnapshot(const bundle::Bundle& bundle, std::string_view ownInstance)
+{
+    auto snapshot = std::make_shared<RoutingSnapshot>();
+    snapshot->version = bundle.version;
+    snapshot->lookupTtl = bundle.lookupTtl;
+    indexZones(*snapshot, bundle);
+    const DrainNames drains = drainNames(bundle);
+    for (ZoneRoute& zone : snapshot->zones)
+        zone.isDrained = drains.zones.contains(zone.name);
+    indexLinks(*snapshot, bundle);
+    indexInstances(*snapshot, bundle, drains);
+    indexServices(*snapshot, bundle, drains);
+    indexCaps(*snapshot, bundle);
+    snapshot->ownInstance = find(snapshot->instanceIndex, ownInstance);
+    if (snapshot->ownInstance)
+        snapshot->ownZone = snapshot->instances[*snapshot->ownInstance].zone;
+    return snapshot;
+}
+
+FleetView makeFleetView(const RoutingSnapshot& snapshot, MemberState state)
+{
+    FleetView view;
+    view.members.assign(snapshot.instances.size(), state);
+    view.instanceHeadroom.assign(snapshot.instances.size(), 0);
+    view.grants.resize(snapshot.services.size() * snapshot.zones.size());
+    return view;
+}
+
+unsigned validHeadroom(const RoutingSnapshot& snapshot, const FleetView& view, Index service, Index zone, TimePoint now)
+{
+    const HeadroomGrant& grant = view.grants[service * snapshot.zones.size() + zone];
+    return now - grant.receivedAt < grantLifetime ? grant.slots : 0;
+}
+
+RankedInstances rankEntryInstances(const RoutingSnapshot& snapshot, Index service, Index callerZone,
+    const FleetView& view, TimePoint now, Random& random)
+{
+    const Ranking ranking { snapshot, view, random };
+    const auto& ownZones = snapshot.regions[snapshot.zones[callerZone].region].zones;
+    RankedInstances result;
+
+    GroupSample own(maximumRankedPerGroup);
+    ranking.offerZone(callerZone, MemberState::Live, own);
+    own.addTo(result);
+
+    GroupSample near(maximumRankedPerGroup);
+    for (const Index zone : ownZones) {
+        if (zone != callerZone)
+            ranking.offerZone(zone, MemberState::Live, near);
+    }
+    near.addTo(result);
+
+    // Two instances of each of the best regions, so that the list survives the loss of one of them.
+    const RegionChoice regions = chooseRegions(snapshot, service, callerZone, view, now);
+    const std::size_t perRegion = regions.size > 1 ? maximumRankedPerGroup / 2 : maximumRankedPerGroup;
+    const std::size_t end = result.size + maximumRankedPerGroup;
+    for (std::size_t at = 0; at < regions.size && result.size < end; ++at) {
+        GroupSample far(std::min(perRegion, end - result.size));
+        for (const Index zone : snapshot.regions[regions.entries[at].region].zones)
+            ranking.offerZone(zone, MemberState::Live, far);
+        far.addTo(result);
+    }
+
+    GroupSample suspects(std::min(maximumRankedPerGroup, maximumRanked - result.size));
+    if (result.size == maximumRanked)
+        return result;
+    ranking.offerZone(callerZone, MemberState::Suspect, suspects);
+    for (const Index zone : ownZones) {
+        if (zone != callerZone && !suspects.isFull())
+            ranking.offerZone(zone, MemberState::Suspect, suspects);
+    }
+    for (const Index region : snapshot.regions[snapshot.zones[callerZone].region].othersByDelay) {
+        for (const Index zone : snapshot.regions[region].zones) {
+            if (!suspects.isFull())
+                ranking.offerZone(zone, MemberState::Suspect, suspects);
+        }
+    }
+    suspects.addTo(result);
+    return result;
+}
+
+} // namespace clementinefall::steering
