--- /dev/null
+++ b/src/libs/requests/requestsession.cpp
@@ -0,0 +1,600 @@
+#include "requests/requestsession.h"
+
+#include "base/log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace clementinefall::requests {
+
+using http::Field;
+using http::RequestHeader;
+using http::Response;
+using http::ResponseHeader;
+namespace HeaderName = http::HeaderName;
+
+namespace {
+
+/// Fields that belong to one connection or that each hop sets itself.
+constexpr std::array hopFields {
+    std::string_view("Connection"),
+    std::string_view("Keep-Alive"),
+    std::string_view("Proxy-Connection"),
+    std::string_view("TE"),
+    std::string_view("Trailer"),
+    std::string_view("Transfer-Encoding"),
+    std::string_view("Upgrade"),
+    std::string_view("Expect"),
+    std::string_view("Content-Length"),
+    std::string_view("Host"),
+    HeaderName::deadlineMs,
+    HeaderName::hop,
+    HeaderName::attempt,
+    HeaderName::traceParent,
+    HeaderName::outcome,
+    HeaderName::result,
+    HeaderName::notRun,
+    HeaderName::draining,
+};
+
+template <typename Fields> void eraseHopFields(Fields& fields)
+{
+    for (const std::string_view name : hopFields)
+        fields.erase(name);
+}
+
+/// Path after `/v1/services/<service>`, with the query.
+std::string targetWithinService(std::string_view target, std::string_view service)
+{
+    const std::string prefix = fmt::format("/v1/services/{}", service);
+    std::string rest(target.substr(std::min(prefix.size(), target.size())));
+    if (rest.empty() || rest.front() != '/')
+        rest.insert(rest.begin(), '/');
+    return rest;
+}
+
+/// Expected time for an exchange with a server of the zone; a retry with less time left would only add load.
+constexpr milliseconds shortestRetry { 20 };
+
+} // namespace
+
+RequestSession::RequestSession(TrafficState& trafficState, ConnectionPool& connectionPool,
+    std::shared_ptr<http::Exchange> source, std::string serviceName, Random randomSource)
+    : state(trafficState)
+    , pool(connectionPool)
+    , exchange(std::move(source))
+    , service(std::move(serviceName))
+    , random(randomSource)
+{
+}
+
+Awaitable<void> RequestSession::run(std::shared_ptr<RequestSession> session)
+{
+    ++session->state.counters.requests;
+    co_await session->process();
+}
+
+std::optional<ResultCode> RequestSession::readRequest()
+{
+    const RequestHeader& header = this->exchange->header();
+    const TimePoint now = Clock::now();
+    const std::string_view hop = http::fieldValue(header, HeaderName::hop);
+    this->identityText = http::fieldValue(header, HeaderName::identity);
+    if (hop == "execute")
+        this->role = RequestRole::Executor;
+    else if (!this->identityText.empty())
+        this->role = RequestRole::Forwarder; // until the identity shows that this is its home
+
+    const auto parent = parseTraceParent(http::fieldValue(header, HeaderName::traceParent));
+    const TraceContext context = parent ? childOf(*parent, this->random) : newTrace(this->random, false);
+    this->span = Span { context, parent ? parent->spanId : 0, hop.empty() ? "request" : std::string(hop),
+        WallClock::now(), {}, { { "service", this->service }, { "instance", this->state.self.name } } };
+
+    this->routing = this->state.routing();
+    if (!this->routing || !this->routing->snapshot->ownZone)
+        return ResultCode::NotRunNoBundle;
+    const steering::RoutingSnapshot& snapshot = *this->routing->snapshot;
+    const auto found = steering::find(snapshot.serviceIndex, this->service);
+    if (!found)
+        return ResultCode::NotRunUnknownService;
+    this->serviceIndex = *found;
+    const steering::ServiceRoute& route = snapshot.services[*found];
+    const auto zone = steering::find(snapshot.zoneIndex, http::fieldValue(header, HeaderName::callerZone));
+    this->callerZone = zone.value_or(*snapshot.ownZone);
+
+    std::optional<milliseconds> left;
+    if (const auto value = http::fieldNumber(header, HeaderName::deadlineMs))
+        left = milliseconds(std::min<std::uint64_t>(*value, static_cast<std::uint64_t>(route.deadline.count())));
+    this->deadline = deadlineOf(now, left, route.deadline);
+    this->upstreamTarget = targetWithinService(header.target(), this->service);
+
+    const std::string_view requestClass = http::fieldValue(header, HeaderName::requestClass);
+    this->isIdempotent = requestClass.empty() ? route.requestClass != bundle::RequestClass::NonIdempotent
+                                              : requestClass == "idempotent";
+    if (this->isIdempotent && route.requestClass == bundle::RequestClass::NonIdempotent)
+        return ResultCode::NotRunClassMismatch;
+    if (!this->isIdempotent && route.requestClass == bundle::RequestClass::Idempotent)
+        return ResultCode::NotRunClassMismatch;
+    if (!this->isIdempotent && this->identityText.empty())
+        return ResultCode::NotRunMissingIdentity;
+    const auto length = this->exchange->bodyBytes();
+    if (length && *length > route.maximumBodyBytes)
+        return ResultCode::NotRunBodyLimit;
+    return std::nullopt;
+}
+
+Awaitable<Status> RequestSession::receivePrefix()
+{
+    this->body.totalBytes = this->exchange->bodyBytes();
+    std::string piece(http::relayBufferBytes, '\0');
+    while (this->body.prefix.size() < http::relayBufferBytes) {
+        const asio::mutable_buffer target = asio::buffer(piece.data(), piece.size() - this->body.prefix.size());
+        const Result<std::size_t> bytes = co_await this->exchange->receiveBody(target);
+        if (!isOk(bytes))
+            co_return errorOf(bytes);
+        if (valueOf(bytes) == 0)
+            break;
+        this->body.prefix.append(piece, 0, valueOf(bytes));
+    }
+    this->body.isComplete = this->exchange->isBodyComplete();
+    if (this->body.isComplete)
+        this->body.totalBytes = this->body.prefix.size();
+    else
+        this->body.rest = this->exchange;
+    co_return okStatus();
+}
+
+Awaitable<void> RequestSession::process()
+{
+    const auto self = this->shared_from_this();
+    const auto refusal = this->readRequest();
+    if (refusal && this->role != RequestRole::Forwarder) {
+        co_await this->reply(*refusal);
+        co_return;
+    }
+    const Status received = co_await this->receivePrefix();
+    if (!isOk(received)) {
+        this->exchange->setClosing();
+        co_await this->reply(this->refusalOf(errorOf(received).code));
+        co_return;
+    }
+    if (this->exchange->isBodyComplete()) {
+        this->exchange->watchDisconnect([weak = this->weak_from_this()] {
+            if (const auto session = weak.lock())
+                session->onCallerLeft();
+        });
+    }
+    if (this->role != RequestRole::Forwarder) {
+        co_await this->runDirect();
+        co_return;
+    }
+    const Result<Identity> identity = parseIdentity(this->identityText);
+    if (!isOk(identity)) {
+        co_await this->reply(ResultCode::NotRunInvalidIdentity);
+        co_return;
+    }
+    const bool isForwarded = http::fieldValue(this->exchange->header(), HeaderName::hop) == "home";
+    switch (routeIdentity(valueOf(identity), this->state.self.name, this->state.self.incarnation, isForwarded)) {
+    case IdentityRoute::Home:
+        this->role = RequestRole::Home;
+        this->withoutAttempt = refusal.value_or(this->withoutAttempt);
+        co_await this->runAsHome(valueOf(identity).sequence);
+        co_return;
+    case IdentityRoute::Forward:
+        co_await this->runAsForwarder(valueOf(identity));
+        co_return;
+    case IdentityRoute::HomeReplaced:
+        co_await this->reply(ResultCode::UnknownHomeReplaced);
+        co_return;
+    case IdentityRoute::NotHomeAgain:
+        co_await this->reply(ResultCode::UnknownHomeUnreachable);
+        co_return;
+    }
+}
+
+void RequestSession::onCallerLeft()
+{
+    // Another copy of a request with an identity may still ask for the result, so its execution goes on.
+    if (this->role == RequestRole::Home)
+        return;
+    this->callerLeft = true;
+    if (this->attempt)
+        this->attempt->cancel();
+}
+
+Awaitable<void> RequestSession::runDirect()
+{
+    const bool mayRetry = this->role == RequestRole::Direct;
+    if (this->role == RequestRole::Executor)
+        ++this->state.counters.executedForPeers;
+    if (this->state.stopping && this->role == RequestRole::Executor) {
+        co_await this->reply(ResultCode::NotRunStopping);
+        co_return;
+    }
+    const ResultCode code = co_await this->makeAttempts(this->isIdempotent, mayRetry);
+    if (code == ResultCode::Answered)
+        co_await this->relayAnswer(code);
+    else
+        co_await this->reply(code);
+}
+
+Hash128 RequestSession::requestHash() const
+{
+    StreamHash hash;
+    hash.update(this->exchange->header().method_string());
+    hash.update(" ");
+    hash.update(this->service);
+    hash.update(this->upstreamTarget);
+    hash.update("\n");
+    hash.update(fmt::format("{}\n", this->body.totalBytes ? fmt::format("{}", *this->body.totalBytes) : "chunked"));
+    hash.update(this->body.prefix);
+    return hash.digest();
+}
+
+Awaitable<void> RequestSession::runAsHome(std::uint64_t sequence)
+{
+    std::optional<ResultCode> refusal;
+    if (this->withoutAttempt != ResultCode::NotRunNoCapacity)
+        refusal = this->withoutAttempt;
+    else if (this->state.stopping)
+        refusal = ResultCode::NotRunStopping;
+    const Hash128 hash = this->requestHash();
+    this->waitTimer.emplace(this->exchange->executor(), this->deadline);
+    const Waiter waiter
+        = [weak = this->weak_from_this(), executor = this->exchange->executor()](const StoredResultPtr& result) {
+              asio::post(executor, [weak, result] {
+                  const auto session = weak.lock();
+                  if (!session)
+                      return;
+                  session->awaitedResult = result;
+                  session->waitTimer->cancel();
+              });
+          };
+    HomeStep step;
+    {
+        const std::scoped_lock lock(this->state.executionMutex);
+        step = homeBegin(this->state.executions, sequence, hash, refusal, Clock::now(), waiter);
+    }
+    if (const auto* replyNow = std::get_if<ReplyNow>(&step)) {
+        co_await this->replyStored(replyNow->code, replyNow->result);
+        co_return;
+    }
+    if (const auto* await = std::get_if<AwaitResult>(&step)) {
+        const std::uint64_t ticket = await->ticket;
+        co_await this->awaitOtherCopy(sequence, ticket);
+        co_return;
+    }
+    co_await this->executeAtHome(sequence);
+}
+
+Awaitable<void> RequestSession::awaitOtherCopy(std::uint64_t sequence, std::uint64_t ticket)
+{
+    if (!this->awaitedResult)
+        co_await this->waitTimer->async_wait(useTuple);
+    if (!this->awaitedResult) {
+        {
+            const std::scoped_lock lock(this->state.executionMutex);
+            this->state.executions.cancelWait(sequence, ticket);
+        }
+        co_await this->reply(ResultCode::UnknownTimeout);
+        co_return;
+    }
+    const StoredResultPtr result = this->awaitedResult;
+    co_await this->replyStored(codeForCopy(*result), result);
+}
+
+Awaitable<void> RequestSession::executeAtHome(std::uint64_t sequence)
+{
+    const ResultCode code = co_await this->makeAttempts(this->isIdempotent, true);
+    StoredResult result;
+    if (code == ResultCode::Answered)
+        result = this->storedAnswer();
+    result.code = code;
+    FinishResult finished;
+    {
+        const std::scoped_lock lock(this->state.executionMutex);
+        finished = homeFinish(this->state.executions, sequence, std::move(result), Clock::now());
+    }
+    for (const Waiter& waiter : finished.waiters)
+        waiter(finished.result);
+    const ResultCode final = finished.result ? finished.result->code : ResultCode::UnknownNotDecided;
+    if (final == ResultCode::Answered && code == ResultCode::Answered)
+        co_await this->relayAnswer(final);
+    else
+        co_await this->reply(final);
+}
+
+StoredResult RequestSession::storedAnswer() const
+{
+    const UpstreamAnswer& answer = this->attempt->answer();
+    StoredResult result;
+    result.httpStatus = answer.header.result_int();
+    result.bodyKept = answer.isBodyComplete;
+    if (!answer.isBodyComplete)
+        return result;
+    ResponseHeader header = answer.header;
+    eraseHopFields(header);
+    for (const auto& field : header)
+        result.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    result.body = answer.body;
+    return result;
+}
+
+Awaitable<void> RequestSession::runAsForwarder(Identity home)
+{
+    ++this->state.counters.forwardedToHome;
+    ForwardEnd end = ForwardEnd::HomeNotKnown;
+    ResultCode homeCode = ResultCode::UnknownHomeUnreachable;
+    const auto index = this->routing && this->routing->snapshot
+        ? steering::find(this->routing->snapshot->instanceIndex, home.instance)
+        : std::nullopt;
+    if (index) {
+        const steering::InstanceRoute& instance = this->routing->snapshot->instances[*index];
+        this->attempt = std::make_unique<UpstreamAttempt>(this->pool, instance.traffic, this->deadline);
+        RequestHeader header = this->headerForPeer("home", this->span.context);
+        const AttemptEnd sent = co_await this->attempt->run(std::move(header), this->body);
+        const Attempt result = this->classify(sent, true);
+        homeCode = result.peerCode;
+        switch (result.end) {
+        case AttemptEnd::ConnectRefused:
+            end = ForwardEnd::ConnectRefused;
+            break;
+        case AttemptEnd::NothingWritten:
+            end = ForwardEnd::NothingWritten;
+            break;
+        case AttemptEnd::TimedOut:
+            end = ForwardEnd::TimedOut;
+            break;
+        case AttemptEnd::AnswerCut:
+            end = ForwardEnd::AnswerCut;
+            break;
+        case AttemptEnd::AnswerInvalid:
+            end = ForwardEnd::AnswerInvalid;
+            break;
+        case AttemptEnd::CancelledSent:
+        case AttemptEnd::CancelledUnsent:
+            end = ForwardEnd::CallerLeft;
+            break;
+        case AttemptEnd::WrittenAndLost:
+            end = ForwardEnd::WrittenAndLost;
+            break;
+        default:
+            end = ForwardEnd::HomeAnswered;
+            break;
+        }
+    }
+    const ResultCode code = codeOfForward(end, homeCode);
+    if (end == ForwardEnd::HomeAnswered)
+        co_await this->relayAnswer(code);
+    else
+        co_await this->reply(code);
+}
+
+Awaitable<ResultCode> RequestSession::makeAttempts(bool idempotent, bool retryAllowed)
+{
+    {
+        const std::scoped_lock lock(this->state.budgetMutex);
+        this->state.retryBudget.noteFirstAttempt(Clock::now());
+    }
+    while (true) {
+        if (this->callerLeft)
+            co_return this->ends.empty() ? ResultCode::NotRunCancelled
+                                         : codeOfAttempts(this->ends, this->withoutAttempt);
+        const bool attempted = co_await this->makeOneAttempt();
+        if (!attempted)
+            co_return codeOfAttempts(this->ends, this->withoutAttempt);
+        if (this->ends.back() == AttemptEnd::Answered)
+            co_return ResultCode::Answered;
+        if (!retryAllowed || this->body.restConsumed)
+            co_return codeOfAttempts(this->ends, this->withoutAttempt);
+        RetryState retry;
+        retry.isIdempotent = idempotent;
+        retry.ended = this->ends;
+        const TimePoint now = Clock::now();
+        retry.left = this->deadline - now;
+        retry.expected = shortestRetry;
+        RetryDecision decision;
+        {
+            const std::scoped_lock lock(this->state.budgetMutex);
+            decision = decideRetry(retry, this->state.retryBudget, now);
+        }
+        if (decision.verdict != RetryVerdict::Retry)
+            co_return decision.code;
+        ++this->state.counters.extraAttempts;
+    }
+}
+
+Awaitable<bool> RequestSession::makeOneAttempt()
+{
+    const steering::RoutingSnapshot& snapshot = *this->routing->snapshot;
+    const auto server = this->state.takeServer(snapshot, this->serviceIndex, *snapshot.ownZone, this->triedServers);
+    Attempt result;
+    if (server) {
+        this->triedServers.push_back(*server);
+        result = co_await this->attemptServer(*server);
+        this->ends.push_back(result.end);
+        co_return true;
+    }
+    if (this->role == RequestRole::Executor)
+        co_return false;
+    const auto peer = this->choosePeer();
+    if (!peer)
+        co_return false;
+    this->triedPeers.push_back(*peer);
+    result = co_await this->attemptPeer(*peer);
+    this->ends.push_back(result.end);
+    co_return true;
+}
+
+Awaitable<RequestSession::Attempt> RequestSession::attemptServer(steering::Index server)
+{
+    const steering::ServerRoute& route = this->routing->snapshot->servers[server];
+    Span attemptSpan { childOf(this->span.context, this->random), this->span.context.spanId, "attempt",
+        WallClock::now(), {}, { { "server", route.name } } };
+    this->attempt = std::make_unique<UpstreamAttempt>(this->pool, route.address, this->deadline);
+    RequestHeader header = this->headerForServer(attemptSpan.context);
+    const AttemptEnd end = co_await this->attempt->run(std::move(header), this->body);
+    this->state.releaseServer(route.name);
+    if (this->attempt->isNewConnection())
+        ++this->state.counters.newConnections;
+    const Attempt result = this->classify(end, false);
+    attemptSpan.end = WallClock::now();
+    attemptSpan.attributes.emplace_back("result", fmt::format("{}", number(codeOfAttempt(result.end))));
+    this->state.spans.write(attemptSpan);
+    co_return result;
+}
+
+std::optional<steering::Index> RequestSession::choosePeer()
+{
+    const steering::RoutingSnapshot& snapshot = *this->routing->snapshot;
+    const auto ranked = steering::rankEntryInstances(
+        snapshot, this->serviceIndex, *snapshot.ownZone, this->routing->view, Clock::now(), this->random);
+    for (const steering::Index index : ranked) {
+        const steering::InstanceRoute& instance = snapshot.instances[index];
+        const bool isTried
+            = std::find(this->triedPeers.begin(), this->triedPeers.end(), index) != this->triedPeers.end();
+        const bool hasServers = !snapshot.services[this->serviceIndex].serversByZone[instance.zone].empty();
+        if (instance.zone != *snapshot.ownZone && !isTried && hasServers)
+            return index;
+    }
+    return std::nullopt;
+}
+
+Awaitable<RequestSession::Attempt> RequestSession::attemptPeer(steering::Index peer)
+{
+    const steering::InstanceRoute& instance = this->routing->snapshot->instances[peer];
+    this->attempt = std::make_unique<UpstreamAttempt>(this->pool, instance.traffic, this->deadline);
+    RequestHeader header = this->headerForPeer("execute", this->span.context);
+    const AttemptEnd end = co_await this->attempt->run(std::move(header), this->body);
+    Attempt result = this->classify(end, true);
+    if (result.end == AttemptEnd::Answered)
+        result.end = classifyExecutorCode(result.peerCode);
+    co_return result;
+}
+
+RequestSession::Attempt RequestSession::classify(AttemptEnd end, bool isPeer) const
+{
+    if (end != AttemptEnd::Answered)
+        return { end, ResultCode::UnknownNotDecided };
+    const ResponseHeader& header = this->attempt->answer().header;
+    ReceivedAnswer answer;
+    answer.expectedIdentity = this->identityText;
+    answer.echoedIdentity = http::fieldValue(header, HeaderName::identity);
+    answer.isEchoRequired = isPeer;
+    const AttemptEnd classified = classifyAnswer(answer);
+    if (classified != AttemptEnd::Answered)
+        return { classified, ResultCode::UnknownNotDecided };
+    if (!isPeer) {
+        const bool isShed = !http::fieldValue(header, HeaderName::notRun).empty();
+        return { isShed ? AttemptEnd::ShedByServer : AttemptEnd::Answered, ResultCode::Answered };
+    }
+    const auto codeNumber = http::fieldNumber(header, HeaderName::result);
+    const auto code = codeNumber ? resultCodeFromNumber(static_cast<unsigned>(*codeNumber)) : std::nullopt;
+    if (!code)
+        return { AttemptEnd::AnswerInvalid, ResultCode::UnknownNotDecided };
+    return { AttemptEnd::Answered, *code };
+}
+
+RequestHeader RequestSession::headerForServer(const TraceContext& trace) const
+{
+    RequestHeader header = this->exchange->header();
+    eraseHopFields(header);
+    header.target(this->upstreamTarget);
+    header.set(HeaderName::traceParent, trace.text());
+    const auto left = std::chrono::ceil<milliseconds>(this->deadline - Clock::now());
+    header.set(HeaderName::deadlineMs, fmt::format("{}", std::max<std::int64_t>(left.count(), 1)));
+    return header;
+}
+
+RequestHeader RequestSession::headerForPeer(std::string_view hop, const TraceContext& trace) const
+{
+    RequestHeader header = this->headerForServer(trace);
+    header.target(this->exchange->header().target());
+    header.set(HeaderName::hop, hop);
+    header.set(HeaderName::attempt, fmt::format("{}", this->ends.size() + 1));
+    header.set(HeaderName::requestClass, this->isIdempotent ? "idempotent" : "non-idempotent");
+    header.set(HeaderName::callerZone, this->routing->snapshot->zones[this->callerZone].name);
+    return header;
+}
+
+void RequestSession::setReplyFields(ResponseHeader& header, ResultCode code) const
+{
+    http::setResultFields(header, code);
+    if (!this->identityText.empty())
+        header.set(HeaderName::identity, this->identityText);
+}
+
+Awaitable<void> RequestSession::relayAnswer(ResultCode code)
+{
+    UpstreamAnswer& answer = this->attempt->answer();
+    ResponseHeader header = answer.header;
+    eraseHopFields(header);
+    this->setReplyFields(header, code);
+    this->finishSpan(code);
+    const std::optional<std::uint64_t> total = answer.totalBytes;
+    Status sent = co_await this->exchange->sendHeader(std::move(header), total);
+    if (isOk(sent) && !answer.body.empty())
+        sent = co_await this->exchange->sendBody(answer.body);
+    std::string piece(http::relayBufferBytes, '\0');
+    bool isComplete = answer.isBodyComplete;
+    while (isOk(sent) && !isComplete) {
+        const asio::mutable_buffer target = asio::buffer(piece);
+        const Result<std::size_t> bytes = co_await this->attempt->receiveMore(target);
+        if (!isOk(bytes)) {
+            logWarning("answer_cut", { { "service", this->service }, { "error", errorOf(bytes).text() } });
+            this->exchange->abort();
+            co_return;
+        }
+        isComplete = valueOf(bytes) == 0;
+        if (!isComplete)
+            sent = co_await this->exchange->sendBody(std::string_view(piece).substr(0, valueOf(bytes)));
+    }
+    if (isOk(sent))
+        co_await this->exchange->endBody();
+}
+
+Awaitable<void> RequestSession::reply(ResultCode code)
+{
+    Response response = http::errorResponse(Error { code, std::string(resultCodeInfo(code).description) });
+    this->setReplyFields(response.base(), code);
+    this->finishSpan(code);
+    co_await this->exchange->respond(std::move(response));
+}
+
+Awaitable<void> RequestSession::replyStored(ResultCode code, StoredResultPtr result)
+{
+    if (!result || outcomeOf(code) != Outcome::Answered || !result->bodyKept) {
+        co_await this->reply(code);
+        co_return;
+    }
+    Response response;
+    response.result(result->httpStatus);
+    for (const auto& [name, value] : result->headers)
+        response.set(name, value);
+    response.body() = result->body;
+    this->setReplyFields(response.base(), code);
+    this->finishSpan(code);
+    co_await this->exchange->respond(std::move(response));
+}
+
+void RequestSession::finishSpan(ResultCode code)
+{
+    switch (outcomeOf(code)) {
+    case Outcome::Answered:
+        ++this->state.counters.answered;
+        break;
+    case Outcome::NotRun:
+        ++this->state.counters.notRun;
+        break;
+    case Outcome::Unknown:
+        ++this->state.counters.unknown;
+        break;
+    }
+    this->span.end = WallClock::now();
+    this->span.attributes.emplace_back("result", fmt::format("{}", number(code)));
+    this->state.spans.write(this->span);
+}
+
+} // namespace clementinefall::requests
--- /dev/null
+++ b/src/libs/requests/upstreamattempt.cpp
@@ -0,0 +1,125 @@
+#include "requests/upstreamattempt.h"
+
+namespace clementinefall::requests {
+
+UpstreamAttempt::UpstreamAttempt(ConnectionPool& connectionPool, HostPort target, TimePoint end)
+    : pool(connectionPool)
+    , address(std::move(target))
+    , deadline(end)
+{
+}
+
+UpstreamAttempt::~UpstreamAttempt()
+{
+    if (this->lease.connection)
+        this->pool.giveBack(std::move(this->lease), Clock::now());
+}
+
+void UpstreamAttempt::cancel()
+{
+    this->cancelled = true;
+    if (this->lease.connection)
+        this->lease.connection->close();
+}
+
+AttemptEnd UpstreamAttempt::endOf(const Error& error) const
+{
+    if (this->cancelled)
+        return this->connected && this->lease.connection->hasSentBytes() ? AttemptEnd::CancelledSent
+                                                                         : AttemptEnd::CancelledUnsent;
+    if (error.code == ResultCode::NotRunConnectRefused)
+        return AttemptEnd::ConnectRefused;
+    if (!this->connected || !this->lease.connection->hasSentBytes())
+        return AttemptEnd::NothingWritten;
+    switch (error.code) {
+    case ResultCode::UnknownTimeout:
+        return AttemptEnd::TimedOut;
+    case ResultCode::UnknownAnswerCut:
+        return AttemptEnd::AnswerCut;
+    case ResultCode::UnknownAnswerInvalid:
+        return AttemptEnd::AnswerInvalid;
+    default:
+        return AttemptEnd::WrittenAndLost;
+    }
+}
+
+Awaitable<AttemptEnd> UpstreamAttempt::run(http::RequestHeader header, RequestBody& body)
+{
+    this->lease = this->pool.take(this->address, Clock::now());
+    const auto connection = this->lease.connection;
+    if (this->lease.isNew) {
+        const HostPort target = this->address;
+        const Status status = co_await connection->connect(target, this->deadline);
+        if (!isOk(status))
+            co_return this->endOf(errorOf(status));
+    }
+    this->connected = true;
+    const Status sent = co_await this->send(std::move(header), body);
+    if (!isOk(sent) && !this->answeredEarly)
+        co_return this->endOf(errorOf(sent));
+    Result<http::ResponseHeader> head = co_await connection->receiveHeader(this->deadline);
+    if (!isOk(head)) {
+        if (errorOf(head).code == ResultCode::UnknownTimeout)
+            this->silent = this->pool.noteSilence(this->lease, connection->hasReceivedBytes(), Clock::now());
+        co_return this->endOf(errorOf(head));
+    }
+    this->received.header = std::move(valueOf(head));
+    this->received.totalBytes = connection->responseBodyBytes();
+    std::string piece(http::relayBufferBytes, '\0');
+    while (this->received.body.size() < http::relayBufferBytes) {
+        const asio::mutable_buffer target = asio::buffer(piece);
+        const Result<std::size_t> bytes = co_await connection->receiveBody(target, this->deadline);
+        if (!isOk(bytes))
+            co_return this->endOf(errorOf(bytes));
+        if (valueOf(bytes) == 0) {
+            this->received.isBodyComplete = true;
+            this->received.totalBytes = this->received.body.size();
+            break;
+        }
+        this->received.body.append(piece, 0, valueOf(bytes));
+    }
+    co_return AttemptEnd::Answered;
+}
+
+Awaitable<Status> UpstreamAttempt::send(http::RequestHeader header, RequestBody& body)
+{
+    const auto connection = this->lease.connection;
+    Status sent = co_await connection->sendHeader(std::move(header), body.totalBytes, this->deadline);
+    if (isOk(sent) && !body.prefix.empty())
+        sent = co_await connection->sendBody(body.prefix, this->deadline);
+    if (!isOk(sent))
+        co_return sent;
+    if (!body.isComplete) {
+        std::string piece(http::relayBufferBytes, '\0');
+        while (true) {
+            // A server that answers before the body's end has refused the request; the rest is not sent.
+            if (connection->hasPendingInput()) {
+                this->answeredEarly = true;
+                co_return okStatus();
+            }
+            const asio::mutable_buffer target = asio::buffer(piece);
+            body.restConsumed = true;
+            const Result<std::size_t> bytes = co_await body.rest->receiveBody(target);
+            if (!isOk(bytes)) {
+                // The sender broke off. The connection is closed so that the server never sees a whole request.
+                connection->close();
+                co_return errorOf(bytes);
+            }
+            if (valueOf(bytes) == 0)
+                break;
+            sent = co_await connection->sendBody(std::string_view(piece).substr(0, valueOf(bytes)), this->deadline);
+            if (!isOk(sent))
+                co_return sent;
+        }
+    }
+    if (!body.totalBytes || *body.totalBytes > 0)
+        sent = co_await connection->endBody(this->deadline);
+    co_return sent;
+}
+
+Awaitable<Result<std::size_t>> UpstreamAttempt::receiveMore(asio::mutable_buffer buffer)
+{
+    return this->lease.connection->receiveBody(buffer, this->deadline);
+}
+
+} // namespace clementinefall::requests
