--- /dev/null
+++ b/src/libs/steering/locality.cpp
@@ -0,0 +1,176 @@
+#include "steering/locality.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace clementinefall::steering {
+
+namespace {
+
+/// Delay that is as bad as having half of the headroom.
+constexpr double delayScaleMs = 50;
+
+struct ScoredZone {
+    std::optional<Index> zone;
+    double score = 0;
+};
+
+std::size_t cell(const RoutingSnapshot& snapshot, Index service, Index zone)
+{
+    return service * snapshot.zones.size() + zone;
+}
+
+/// Requests that may still be sent into the grant of \a zone.
+unsigned restOfGrant(const OverflowTable& table, const RoutingSnapshot& snapshot, const FleetView& view, Index service,
+    Index zone, bundle::Priority priority, TimePoint now)
+{
+    const unsigned granted = validHeadroom(snapshot, view, service, zone, now);
+    const auto limit = static_cast<unsigned>(std::ceil(granted * admissionLimit(priority)));
+    const unsigned sent = table.sentSinceGrant[cell(snapshot, service, zone)];
+    return limit > sent ? limit - sent : 0;
+}
+
+/// Headroom discounted by delay; 0 when the zone cannot take a request.
+double overflowScore(unsigned headroom, milliseconds delay)
+{
+    return headroom / (1 + static_cast<double>(delay.count()) / delayScaleMs);
+}
+
+/// Keeps the current target unless another one was clearly better for a while, or the current one cannot take requests.
+void updateTarget(OverflowTarget& target, const ScoredZone& best, double currentScore, TimePoint now)
+{
+    if (!target.current || currentScore <= 0) {
+        target = { best.zone, std::nullopt, now };
+        return;
+    }
+    if (best.zone == target.current || best.score < currentScore * (1 + moveAdvantage)) {
+        target.candidate.reset();
+        return;
+    }
+    if (target.candidate != best.zone) {
+        target.candidate = best.zone;
+        target.candidateSince = now;
+    }
+    if (now - target.candidateSince >= moveDelay)
+        target = { best.zone, std::nullopt, now };
+}
+
+} // namespace
+
+OverflowTable makeOverflowTable(const RoutingSnapshot& snapshot)
+{
+    OverflowTable table;
+    table.targets.resize(snapshot.services.size() * snapshot.zones.size());
+    table.sentSinceGrant.resize(snapshot.services.size() * snapshot.zones.size());
+    return table;
+}
+
+void recordGrant(FleetView& view, OverflowTable& table, const RoutingSnapshot& snapshot, Index service, Index zone,
+    unsigned slots, TimePoint now)
+{
+    const std::size_t at = cell(snapshot, service, zone);
+    view.grants[at] = { slots, now };
+    table.sentSinceGrant[at] = 0;
+}
+
+std::vector<unsigned> divideHeadroom(unsigned freeSlots, std::span<const unsigned> asked)
+{
+    const std::uint64_t sum = std::accumulate(asked.begin(), asked.end(), std::uint64_t(0));
+    std::vector<unsigned> result(asked.begin(), asked.end());
+    if (sum <= freeSlots)
+        return result;
+    std::uint64_t passedBefore = 0;
+    std::uint64_t passed = 0;
+    for (std::size_t at = 0; at < asked.size(); ++at) {
+        // Rounding the running sum instead of each part keeps the total exact.
+        passed += asked[at];
+        result[at] = static_cast<unsigned>(freeSlots * passed / sum - freeSlots * passedBefore / sum);
+        passedBefore = passed;
+    }
+    return result;
+}
+
+OverflowChoice chooseOverflow(OverflowTable& table, ShiftCapTable& caps, const RoutingSnapshot& snapshot,
+    const FleetView& view, Index service, Index callerZone, bundle::Priority priority, TimePoint now)
+{
+    OverflowTarget& target = table.targets[cell(snapshot, service, callerZone)];
+    const Index callerRegion = snapshot.zones[callerZone].region;
+    ScoredZone best;
+    double currentScore = 0;
+    bool hasHeadroom = false;
+    for (Index zone = 0; zone < snapshot.zones.size(); ++zone) {
+        if (zone == callerZone || zone == snapshot.ownZone || snapshot.zones[zone].isDrained)
+            continue;
+        const unsigned rest = restOfGrant(table, snapshot, view, service, zone, priority, now);
+        if (rest == 0)
+            continue;
+        hasHeadroom = true;
+        if (!canShift(caps, snapshot, service, callerZone, zone, now))
+            continue;
+        const unsigned granted = validHeadroom(snapshot, view, service, zone, now);
+        const double score = overflowScore(granted, snapshot.delay(callerRegion, snapshot.zones[zone].region));
+        if (score > best.score)
+            best = { zone, score };
+        if (zone == target.current)
+            currentScore = score;
+    }
+    updateTarget(target, best, currentScore, now);
+    if (!target.current)
+        return { std::nullopt, hasHeadroom ? ResultCode::NotRunShiftCap : ResultCode::NotRunNoCapacity };
+    const Index zone = *target.current;
+    const ResultCode spent = spendShift(caps, snapshot, service, callerZone, zone, now);
+    if (spent != ResultCode::Answered)
+        return { std::nullopt, spent };
+    ++table.sentSinceGrant[cell(snapshot, service, zone)];
+    return { zone, ResultCode::Answered };
+}
+
+bool leavesCapacity(unsigned remainingSlots, unsigned busySlots) { return remainingSlots * 10ULL >= busySlots * 11ULL; }
+
+Result<ClientBlockTable> buildClientBlocks(std::vector<ClientBlock> blocks, std::vector<SiteRanking> rankings)
+{
+    std::sort(blocks.begin(), blocks.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (std::size_t at = 0; at < blocks.size(); ++at) {
+        const ClientBlock& block = blocks[at];
+        if (block.last < block.first)
+            return makeError(ResultCode::BundleOutOfRange, "client block {} ends before its start", block.block);
+        if (at > 0 && block.first <= blocks[at - 1].last)
+            return makeError(
+                ResultCode::BundleOutOfRange, "client blocks {} and {} overlap", blocks[at - 1].block, block.block);
+        if (block.ranking >= rankings.size())
+            return makeError(ResultCode::BundleOutOfRange, "client block {} has an unknown ranking", block.block);
+    }
+    return ClientBlockTable { std::move(blocks), std::move(rankings) };
+}
+
+const ClientBlock* findBlock(const ClientBlockTable& table, std::uint32_t address)
+{
+    const auto after = std::upper_bound(table.blocks.begin(), table.blocks.end(), address,
+        [](std::uint32_t value, const ClientBlock& block) { return value < block.first; });
+    if (after == table.blocks.begin())
+        return nullptr;
+    const ClientBlock& block = *std::prev(after);
+    return address <= block.last ? &block : nullptr;
+}
+
+std::optional<Index> zoneOfClient(const ClientBlockTable& table, std::uint32_t address,
+    std::span<const Index> siteZones, const RoutingSnapshot& snapshot, const FleetView& view)
+{
+    const ClientBlock* block = findBlock(table, address);
+    if (!block)
+        return std::nullopt;
+    for (const std::uint8_t site : table.rankings[block->ranking]) {
+        if (site >= siteZones.size() || siteZones[site] >= snapshot.zones.size())
+            continue;
+        const auto& instances = snapshot.zones[siteZones[site]].instances;
+        const bool hasLive = std::any_of(instances.begin(), instances.end(), [&](Index instance) {
+            return view.members[instance] == MemberState::Live && !snapshot.instances[instance].isDrained;
+        });
+        if (hasLive)
+            return siteZones[site];
+    }
+    return std::nullopt;
+}
+
+} // namespace clementinefall::steering
--- a/src/libs/steering/routing.cpp
+++ b/src/libs/steering/routing.cpp
@@ -133,6 +133,7 @@
         const auto service = find(snapshot.serviceIndex, cap.service);
         if (!service)
             continue;
+        snapshot.services[*service].caps.push_back(static_cast<Index>(snapshot.caps.size()));
         snapshot.caps.push_back({ cap.service + '/' + cap.from + '/' + cap.to, *service, zonesOf(snapshot, cap.from),
             zonesOf(snapshot, cap.to), cap.perSecond, cap.total, cap.epoch });
     }
@@ -235,9 +236,11 @@
 
 bool hasCapTo(const RoutingSnapshot& snapshot, Index service, Index fromZone, Index region)
 {
-    return std::any_of(snapshot.caps.begin(), snapshot.caps.end(), [&](const CapRoute& cap) {
+    const auto& caps = snapshot.services[service].caps;
+    return std::any_of(caps.begin(), caps.end(), [&](Index at) {
+        const CapRoute& cap = snapshot.caps[at];
         const auto& zones = snapshot.regions[region].zones;
-        return cap.service == service && cap.perSecond > 0 && cap.fromZones[fromZone]
+        return cap.perSecond > 0 && cap.fromZones[fromZone]
             && std::any_of(zones.begin(), zones.end(), [&](Index zone) { return cap.toZones[zone]; });
     });
 }
--- a/src/libs/steering/routing.h
+++ b/src/libs/steering/routing.h
@@ -59,6 +59,7 @@
     std::uint64_t maximumBodyBytes = 0;
     std::vector<std::vector<Index>> serversByZone;
     std::vector<unsigned> slotsByZone; ///< Slots of the servers that are not leaving.
+    std::vector<Index> caps; ///< Shift caps of the service.
 };
 
 /// A shift cap with its locations resolved to zones.
--- a/src/libs/steering/sharehistory.cpp
+++ b/src/libs/steering/sharehistory.cpp
@@ -93,6 +93,12 @@
         if (isFalling(this->latest, next, holder))
             step.falling.insert(holder);
     }
+    // A process runs again under a name that was removed; what is known of the former one is void.
+    for (const auto& [holder, amounts] : next.holders) {
+        const auto known = this->reports.find(holder);
+        if (known != this->reports.end() && known->second.status.hasEnded && !this->latest.holders.contains(holder))
+            known->second = { {}, this->queries };
+    }
     const bool isNext = next.version == this->latest.version + 1;
     if (!isNext)
         this->firstSeen = next.version;
--- /dev/null
+++ b/src/libs/steering/tst_fleet.cpp
@@ -0,0 +1,288 @@
+#include "steering/servertable.h"
+#include "steering/shiftcap.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace clementinefall;
+using namespace clementinefall::steering;
+
+namespace {
+
+constexpr std::size_t instanceCount = 4;
+constexpr std::uint64_t capPerSecond = 10;
+constexpr std::uint64_t capTotal = 150;
+constexpr seconds deadline { 2 };
+constexpr seconds longestPartition { 8 };
+constexpr seconds presumeAfter { 10 };
+
+std::string nameOf(std::size_t instance) { return "e" + std::to_string(instance); }
+
+/// One zone with servers of 1 to 4 slots, fewer than instances in part, and a cap to a second region.
+bundle::Bundle fleetBundle(std::uint64_t version, const std::vector<bool>& members)
+{
+    bundle::Bundle bundle;
+    bundle.version = version;
+    bundle.zones = { { "a", "here" }, { "b", "there" } };
+    bundle.services.emplace_back().name = "s";
+    for (unsigned slots = 1; slots <= 4; ++slots)
+        bundle.services[0].servers.push_back({ "s" + std::to_string(slots), "a", {}, slots, 100 });
+    for (std::size_t at = 0; at < members.size(); ++at) {
+        if (members[at])
+            bundle.entryInstances.push_back({ nameOf(at), "a", {}, {}, {} });
+    }
+    bundle.shiftCaps = { { "s", "here", "there", capPerSecond, capTotal, 1 } };
+    return bundle;
+}
+
+struct Running {
+    std::size_t instance = 0;
+    std::uint64_t incarnation = 0;
+    ServerSlot slot = 0;
+    std::string server;
+    TimePoint endsAt {};
+    TimePoint deadlineAt {};
+    bool isLost = false; ///< The instance does not receive the answer.
+};
+
+struct Instance {
+    std::shared_ptr<const RoutingSnapshot> snapshot;
+    std::uint64_t incarnation = 0;
+    ShareHistory capHistory { "", 0, {} };
+    ShareHistory slotHistory { "", 0, {} };
+    ShiftCapTable caps;
+    ServerTable servers;
+    bool isAlive = false;
+    TimePoint pausedUntil {};
+};
+
+/// Several instances that run the real decisions against a plain record of what servers run and what was carried.
+class Fleet {
+public:
+    explicit Fleet(std::uint64_t seed)
+        : random(seed)
+    {
+        for (std::size_t at = 0; at < instanceCount; ++at)
+            this->start(at);
+    }
+
+    void step()
+    {
+        this->now += milliseconds(randomBelow(this->random, 30));
+        this->finishRequests();
+        const std::size_t at = randomBelow(this->random, instanceCount);
+        Instance& instance = this->instances[at];
+        if (instance.isAlive && instance.pausedUntil <= this->now)
+            this->act(at);
+        if (randomBelow(this->random, 60) == 0)
+            this->disturb(at);
+    }
+
+    std::size_t started = 0;
+    std::size_t carried = 0;
+
+private:
+    void start(std::size_t at)
+    {
+        Instance& instance = this->instances[at];
+        instance = Instance {};
+        instance.incarnation = ++this->incarnations;
+        instance.capHistory = ShareHistory(nameOf(at), instance.incarnation, this->now);
+        instance.slotHistory = ShareHistory(nameOf(at), instance.incarnation, this->now, presumeAfter);
+        instance.caps.startedAt = this->now;
+        instance.servers.usableFrom = this->now + deadline;
+        instance.isAlive = true;
+        this->adopt(at);
+    }
+
+    void adopt(std::size_t at)
+    {
+        Instance& instance = this->instances[at];
+        instance.snapshot = buildSnapshot(fleetBundle(this->version, this->members), nameOf(at));
+        applySnapshot(instance.caps, *instance.snapshot);
+        applySnapshot(instance.servers, *instance.snapshot, this->now, true);
+        instance.capHistory.adopt(capShares(*instance.snapshot));
+        instance.slotHistory.adopt(slotShares(*instance.snapshot, 0));
+        for (std::size_t other = 0; other < instanceCount; ++other) {
+            if (this->members[other])
+                continue;
+            instance.capHistory.endHolder(nameOf(other), this->now);
+            instance.slotHistory.endHolder(nameOf(other), this->now);
+        }
+        this->applyAll(instance);
+    }
+
+    void applyAll(Instance& instance) const
+    {
+        applyShares(instance.caps, instance.capHistory);
+        applyShares(instance.servers, instance.slotHistory, this->now);
+    }
+
+    void act(std::size_t at)
+    {
+        Instance& instance = this->instances[at];
+        switch (randomBelow(this->random, 4)) {
+        case 0:
+            this->control(at);
+            break;
+        case 1:
+            if (spendShift(instance.caps, *instance.snapshot, 0, 0, 1, this->now) == ResultCode::Answered)
+                this->recordCarried();
+            break;
+        default:
+            this->request(at);
+            break;
+        }
+    }
+
+    void control(std::size_t at)
+    {
+        Instance& instance = this->instances[at];
+        if (instance.snapshot->version < this->version && randomBelow(this->random, 3) == 0)
+            this->adopt(at);
+        instance.caps.lastTick = this->now;
+        tick(instance.servers, this->now);
+        if (isWithinPledge(instance.caps, instance.capHistory, this->now))
+            instance.capHistory.confirm();
+        if (isWithinPledge(instance.servers, instance.slotHistory, this->now))
+            instance.slotHistory.confirm();
+        for (std::size_t other = 0; other < instanceCount; ++other) {
+            Instance& peer = this->instances[other];
+            if (other == at || !peer.isAlive || peer.pausedUntil > this->now || this->isCut(at, other))
+                continue;
+            instance.capHistory.recordStatus(peer.capHistory.answer(instance.capHistory.makeQuery()), this->now);
+            instance.slotHistory.recordStatus(peer.slotHistory.answer(instance.slotHistory.makeQuery()), this->now);
+        }
+        instance.capHistory.settle(this->now);
+        instance.slotHistory.settle(this->now);
+        this->applyAll(instance);
+        this->reserve(instance);
+    }
+
+    /// The write to the platform may succeed although its response is lost.
+    void reserve(Instance& instance)
+    {
+        ShiftCapShare& share = instance.caps.shares[0];
+        const auto block = needsBlock(share) ? reserveBlock(this->ledger, share, "op") : std::nullopt;
+        if (!block)
+            return;
+        this->ledger = block->next;
+        if (randomBelow(this->random, 10) > 0)
+            creditBlock(share, *block);
+    }
+
+    void request(std::size_t at)
+    {
+        Instance& instance = this->instances[at];
+        const auto admission = admit(instance.servers, 0, bundle::Priority::Critical, {}, this->now, this->random);
+        if (!admission.server)
+            return;
+        const std::string& server = instance.servers.servers[*admission.server].name;
+        const TimePoint endsAt = this->now + milliseconds(randomBelow(this->random, 2'000));
+        const bool isLost = randomBelow(this->random, 8) == 0;
+        this->running.push_back(
+            { at, instance.incarnation, *admission.server, server, endsAt, this->now + deadline, isLost });
+        ++this->started;
+        const auto load = std::count_if(
+            this->running.begin(), this->running.end(), [&](const Running& other) { return other.server == server; });
+        RC_ASSERT(load <= server.back() - '0');
+    }
+
+    void finishRequests()
+    {
+        for (const Running& request : this->running) {
+            Instance& instance = this->instances[request.instance];
+            if (request.endsAt > this->now || !instance.isAlive || instance.incarnation != request.incarnation)
+                continue;
+            AttemptOutcome outcome { AttemptOutcome::Kind::Success, milliseconds(5), request.deadlineAt };
+            outcome.kind = request.isLost ? AttemptOutcome::Kind::Unknown : outcome.kind;
+            recordOutcome(instance.servers, 0, request.slot, outcome, this->now);
+        }
+        std::erase_if(this->running, [&](const Running& request) { return request.endsAt <= this->now; });
+    }
+
+    void recordCarried()
+    {
+        this->spends.push_back(this->now);
+        ++this->carried;
+        while (this->spends.front() <= this->now - seconds(1))
+            this->spends.pop_front();
+        RC_ASSERT(this->spends.size() <= capPerSecond);
+        RC_ASSERT(this->carried <= capTotal);
+    }
+
+    void disturb(std::size_t at)
+    {
+        Instance& instance = this->instances[at];
+        switch (randomBelow(this->random, 4)) {
+        case 0:
+            instance.pausedUntil = this->now + milliseconds(randomBelow(this->random, 5'000));
+            break;
+        case 1:
+            if (this->members[at])
+                this->start(at);
+            break;
+        case 2:
+            this->cut = { at, randomBelow(this->random, instanceCount) };
+            this->cutUntil = this->now + milliseconds(randomBelow(this->random, 1'000 * longestPartition.count()));
+            break;
+        default:
+            this->changeMembers(at);
+            break;
+        }
+    }
+
+    /// An instance is removed only after it was stopped and its requests have ended.
+    void changeMembers(std::size_t at)
+    {
+        const bool isBusy = std::any_of(
+            this->running.begin(), this->running.end(), [&](const Running& request) { return request.instance == at; });
+        if (at == 0 || (this->members[at] && isBusy))
+            return;
+        this->members[at] = !this->members[at];
+        ++this->version;
+        if (this->members[at])
+            this->start(at);
+        this->instances[at].isAlive = this->members[at];
+    }
+
+    bool isCut(std::size_t a, std::size_t b) const
+    {
+        return this->now < this->cutUntil
+            && (a == this->cut.first || b == this->cut.first || a == this->cut.second || b == this->cut.second);
+    }
+
+    Random random;
+    TimePoint now { seconds(1'000) };
+    std::uint64_t version = 1;
+    std::uint64_t incarnations = 0;
+    std::vector<bool> members = std::vector<bool>(instanceCount, true);
+    std::array<Instance, instanceCount> instances;
+    std::pair<std::size_t, std::size_t> cut;
+    TimePoint cutUntil {};
+    CapLedger ledger;
+    std::deque<TimePoint> spends;
+    std::vector<Running> running;
+};
+
+} // namespace
+
+TEST_CASE("No sequence of events breaks a cap or the slots of a server")
+{
+    std::size_t started = 0;
+    std::size_t carried = 0;
+    rc::prop(
+        "with requests, lost answers, restarts, pauses, partitions and changes of the bundle", [&](std::uint64_t seed) {
+            Fleet fleet(seed);
+            for (int step = 0; step < 4'000; ++step)
+                fleet.step();
+            started += fleet.started;
+            carried += fleet.carried;
+        });
+    // The property must not hold for want of traffic.
+    CHECK(started > 5'000);
+    CHECK(carried > 1'000);
+}
