Add Ed25519 sign-offs and the rule for the first bundle

Cause: a bundle may take effect only after operators other than its author have signed it, and a process without a bundle needs a rule for trust. Signers are told apart by key, so one key under two names counts once, and the author's key never. Conclusion: adoption and acceptance can check sign-offs by pure functions.

--- /dev/null
+++ b/src/libs/bundle/signoffs.cpp
@@ -0,0 +1,96 @@
+#include "bundle/signoffs.h"
+
+#include "bundle/signature.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace clementinefall::bundle {
+
+namespace {
+
+const Operator* findOperator(const Bundle& policy, std::string_view name)
+{
+    const auto found = std::find_if(policy.operators.begin(), policy.operators.end(),
+        [name](const Operator& person) { return person.name == name; });
+    return found == policy.operators.end() ? nullptr : &*found;
+}
+
+bool mayApprove(Role role) { return role == Role::Approver || role == Role::Administrator; }
+
+Status checkWithDigest(const Bundle& policy, const Bundle& candidate, const std::string& digest, const SignOff& signOff)
+{
+    const Operator* signer = findOperator(policy, signOff.signer);
+    if (!signer)
+        return makeError(ResultCode::BundleUnknownReference, "signer {} is no operator", signOff.signer);
+    if (!mayApprove(signer->role))
+        return makeError(ResultCode::AdminForbidden, "{} is neither approver nor administrator", signOff.signer);
+    if (signer->publicKey.empty() || signer->publicKey != signOff.publicKey)
+        return makeError(ResultCode::BundleUnknownReference, "the key is not the one of {}", signOff.signer);
+    // An author who is listed twice under one key must not approve the own bundle under the second name.
+    const Operator* author = findOperator(policy, candidate.author);
+    if (signer->name == candidate.author || (author && author->publicKey == signer->publicKey))
+        return makeError(ResultCode::BundleSignedByAuthor, "{} wrote version {}", signOff.signer, candidate.version);
+    if (!verifyDigest(digest, signOff.publicKey, signOff.signature))
+        return makeError(ResultCode::BundleBadSignature, "the signature of {} does not verify", signOff.signer);
+    return okStatus();
+}
+
+struct CountedKeys {
+    std::set<std::string> keys; ///< One per signer: the same key under two names counts once.
+    std::optional<Error> firstRejection;
+};
+
+CountedKeys countSignOffs(const Bundle& policy, const Bundle& candidate, const std::vector<SignOff>& signOffs)
+{
+    CountedKeys counted;
+    const std::string digest = bundleDigest(candidate);
+    for (const SignOff& signOff : signOffs) {
+        const Status status = checkWithDigest(policy, candidate, digest, signOff);
+        if (isOk(status))
+            counted.keys.insert(signOff.publicKey);
+        else if (!counted.firstRejection)
+            counted.firstRejection = errorOf(status);
+    }
+    return counted;
+}
+
+Status checkCount(const Bundle& policy, const CountedKeys& counted)
+{
+    if (counted.keys.size() >= policy.requiredSignatures)
+        return okStatus();
+    if (counted.firstRejection)
+        return *counted.firstRejection;
+    return makeError(
+        ResultCode::BundleNotEnoughSignatures, "{} of {} signatures", counted.keys.size(), policy.requiredSignatures);
+}
+
+} // namespace
+
+Status checkSignOff(const Bundle& policy, const Bundle& candidate, const SignOff& signOff)
+{
+    return checkWithDigest(policy, candidate, bundleDigest(candidate), signOff);
+}
+
+Status checkSignOffs(const Bundle& policy, const Bundle& candidate, const std::vector<SignOff>& signOffs)
+{
+    return checkCount(policy, countSignOffs(policy, candidate, signOffs));
+}
+
+Status checkFirstSignOffs(
+    const std::vector<std::string>& trustedRoots, const Bundle& candidate, const std::vector<SignOff>& signOffs)
+{
+    const CountedKeys counted = countSignOffs(candidate, candidate, signOffs);
+    const Status status = checkCount(candidate, counted);
+    if (!isOk(status))
+        return status;
+    const bool isAnchored = std::any_of(trustedRoots.begin(), trustedRoots.end(),
+        [&counted](const std::string& root) { return counted.keys.contains(root); });
+    if (!isAnchored)
+        return makeError(
+            ResultCode::BundleNotEnoughSignatures, "no trusted root key signed version {}", candidate.version);
+    return okStatus();
+}
+
+} // namespace clementinefall::bundle
--- /dev/null
+++ b/src/libs/bundle/tst_signoffs.cpp
@@ -0,0 +1,118 @@
+#include "bundle/testbundles.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+using namespace clementinefall;
+using namespace clementinefall::bundle;
+
+namespace {
+
+ResultCode codeOf(const Status& status)
+{
+    REQUIRE_FALSE(isOk(status));
+    return errorOf(status).code;
+}
+
+} // namespace
+
+TEST_CASE("Sign-offs")
+{
+    const TestOperators people;
+    Bundle policy = people.bundle(3, "ida");
+    policy.requiredSignatures = 2;
+    const Bundle candidate = people.bundle(4, "ida");
+    const SignOff byAna = people.sign("ana", candidate);
+    const SignOff byBen = people.sign("ben", candidate);
+
+    SECTION("two approvers satisfy a policy of two")
+    {
+        CHECK(isOk(checkSignOffs(policy, candidate, { byAna, byBen })));
+    }
+
+    SECTION("one signer counts once, also under a second name with the same key")
+    {
+        CHECK(codeOf(checkSignOffs(policy, candidate, { byAna, byAna })) == ResultCode::BundleNotEnoughSignatures);
+        policy.operators.push_back({ "ana2", "platform", Role::Approver, "", people.keys.at("ana").publicKey });
+        SignOff second = byAna;
+        second.signer = "ana2";
+        CHECK(codeOf(checkSignOffs(policy, candidate, { byAna, second })) == ResultCode::BundleNotEnoughSignatures);
+    }
+
+    SECTION("the author does not count, also under a second name with the same key")
+    {
+        const Bundle own = people.bundle(4, "ana");
+        policy.requiredSignatures = 1;
+        CHECK(codeOf(checkSignOffs(policy, own, { people.sign("ana", own) })) == ResultCode::BundleSignedByAuthor);
+        policy.operators.push_back({ "ana2", "platform", Role::Approver, "", people.keys.at("ana").publicKey });
+        SignOff second = people.sign("ana", own);
+        second.signer = "ana2";
+        CHECK(codeOf(checkSignOffs(policy, own, { second })) == ResultCode::BundleSignedByAuthor);
+    }
+
+    SECTION("a signature for other content, by an editor, or by a stranger does not count")
+    {
+        policy.requiredSignatures = 1;
+        Bundle changed = candidate;
+        changed.shiftCaps[0].perSecond += 1;
+        CHECK(codeOf(checkSignOffs(policy, changed, { byAna })) == ResultCode::BundleBadSignature);
+        const Bundle byAuthor = people.bundle(4, "ben");
+        CHECK(codeOf(checkSignOffs(policy, byAuthor, { people.sign("ida", byAuthor) })) == ResultCode::AdminForbidden);
+        SignOff stranger = byAna;
+        stranger.signer = "zoe";
+        CHECK(codeOf(checkSignOffs(policy, candidate, { stranger })) == ResultCode::BundleUnknownReference);
+        SignOff otherKey = byAna;
+        otherKey.publicKey = generateKeyPair().publicKey;
+        CHECK(codeOf(checkSignOffs(policy, candidate, { otherKey })) == ResultCode::BundleUnknownReference);
+    }
+
+    SECTION("an invalid sign-off does not block valid ones")
+    {
+        const SignOff junk { "ana", "00", "00" };
+        CHECK(isOk(checkSignOffs(policy, candidate, { junk, byAna, byBen })));
+    }
+
+    SECTION("the first bundle needs a signature by a trusted root")
+    {
+        const auto& root = people.keys.at("ana").publicKey;
+        CHECK(isOk(checkFirstSignOffs({ root }, candidate, { byAna })));
+        CHECK(codeOf(checkFirstSignOffs({ root }, candidate, { byBen })) == ResultCode::BundleNotEnoughSignatures);
+        CHECK(codeOf(checkFirstSignOffs({}, candidate, { byAna })) == ResultCode::BundleNotEnoughSignatures);
+    }
+}
+
+TEST_CASE("Keys and tokens")
+{
+    SECTION("a malformed key or signature never verifies")
+    {
+        const KeyPair pair = generateKeyPair();
+        const std::string digest = textDigest("x");
+        const std::string signature = valueOf(signDigest(digest, pair.secretKey));
+        CHECK(verifyDigest(digest, pair.publicKey, signature));
+        CHECK_FALSE(verifyDigest(digest, pair.publicKey, signature.substr(2)));
+        CHECK_FALSE(verifyDigest(digest, pair.publicKey.substr(2), signature));
+        CHECK_FALSE(isOk(signDigest(digest, "not a key")));
+        std::string upperCase = pair.publicKey;
+        std::transform(upperCase.begin(), upperCase.end(), upperCase.begin(), [](char c) { return std::toupper(c); });
+        CHECK_FALSE(verifyDigest(digest, upperCase, signature)); // else one key could sign under two texts
+        CHECK(valueOf(keyPairFromSecret(pair.secretKey)).publicKey == pair.publicKey);
+    }
+
+    SECTION("a digest is the published BLAKE2b-256, so that other tools can check it")
+    {
+        CHECK(textDigest("abc") == "bddd813c634239723171ef3fee98579b94964e3bb1cb3e427262c8c068d52319");
+    }
+
+    SECTION("a token selects its operator and nobody else; an empty digest matches no token")
+    {
+        const TestOperators people;
+        Bundle bundle = people.bundle(1, "ida");
+        REQUIRE(operatorForToken(bundle, "ida-token"));
+        CHECK(operatorForToken(bundle, "ida-token")->name == "ida");
+        for (Operator& person : bundle.operators)
+            person.tokenDigest.clear();
+        CHECK_FALSE(operatorForToken(bundle, ""));
+    }
+}
