--- a/src/libs/bundle/bundle.h
+++ b/src/libs/bundle/bundle.h
@@ -100,6 +100,9 @@
 /// A versioned bundle of configuration. Plain data; `bundlecodec.h` reads and writes it as JSON.
 struct Bundle {
     std::uint64_t version = 0;
+    /// Accepted version that this one was derived from, 0 when not stated. Acceptance then requires that this version
+    /// is still in force, so that of two changes made side by side neither silently undoes the other.
+    std::uint64_t baseVersion = 0;
     std::string author;
     std::string comment;
     milliseconds lookupTtl { 5000 }; ///< How long callers may keep a lookup answer.
--- a/src/libs/bundle/bundlecodec.cpp
+++ b/src/libs/bundle/bundlecodec.cpp
@@ -278,6 +278,8 @@
     constexpr std::uint64_t maximumSignatures = 16;
     Bundle bundle;
     bundle.version = reader.count("version", 1, maximumCount);
+    if (reader.find("baseVersion"))
+        bundle.baseVersion = reader.count("baseVersion", 0, maximumCount);
     bundle.author = reader.name("author");
     bundle.comment = reader.optionalText("comment", maximumCommentBytes);
     bundle.lookupTtl = reader.duration("lookupTtlMs", maximumTtlMs);
@@ -370,6 +372,8 @@
 {
     json::object document;
     document["version"] = bundle.version;
+    if (bundle.baseVersion != 0)
+        document["baseVersion"] = bundle.baseVersion;
     document["author"] = bundle.author;
     document["comment"] = bundle.comment;
     document["lookupTtlMs"] = bundle.lookupTtl.count();
--- a/src/libs/bundle/bundlediff.cpp
+++ b/src/libs/bundle/bundlediff.cpp
@@ -52,13 +52,23 @@
         this->changes.push_back({ kind, std::move(path), std::move(before), std::move(after) });
     }
 
-    /// Both objects come from the codec and so have the same fields.
+    /// Both objects come from the codec and so have the same fields, but for the optional `baseVersion`.
     void compareObjects(const std::string& path, const json::object& before, const json::object& after)
     {
         for (const auto& field : before) {
             const std::string_view key = field.key();
             const std::string fieldPath = path.empty() ? std::string(key) : fmt::format("{}.{}", path, key);
-            this->compare(fieldPath, key, field.value(), after.at(key));
+            const json::value* other = after.if_contains(key);
+            if (other)
+                this->compare(fieldPath, key, field.value(), *other);
+            else
+                this->add(ChangeKind::Removed, fieldPath, json::serialize(field.value()), "");
+        }
+        for (const auto& field : after) {
+            const std::string_view key = field.key();
+            if (!before.contains(key))
+                this->add(ChangeKind::Added, path.empty() ? std::string(key) : fmt::format("{}.{}", path, key), "",
+                    json::serialize(field.value()));
         }
     }
 
--- /dev/null
+++ b/src/libs/bundle/rolloutsteps.cpp
@@ -0,0 +1,420 @@
+#include "bundle/rolloutsteps.h"
+
+#include "bundle/bundlecodec.h"
+#include "bundle/signature.h"
+
+#include <algorithm>
+
+namespace clementinefall::bundle {
+
+namespace {
+
+/// Entries of one page of the audit trail. 400 entries of at most 2 KB stay under the platform's limit of 1 MB.
+constexpr std::size_t auditPageEntries = 400;
+constexpr std::size_t maximumAuditTextBytes = 512;
+constexpr std::size_t maximumSignOffs = 64; // four times the largest number that a policy can require
+constexpr unsigned maximumWriteCalls = 8;
+
+/// Records that a command on a submitted version needs, parsed.
+struct ReadRecords {
+    AcceptedRecord accepted;
+    RolloutRecord rollout;
+    SignOffRecord signOffs;
+    Bundle bundle;
+    std::optional<Bundle> policy;
+};
+
+template <typename Record> bool takeRecord(const Result<Record>& result, Record& target, std::optional<Error>& error)
+{
+    if (isOk(result)) {
+        target = valueOf(result);
+        return true;
+    }
+    error = errorOf(result);
+    return false;
+}
+
+Result<Bundle> readStoredBundle(const StoredObject& object)
+{
+    if (!object.exists())
+        return makeError(ResultCode::AdminNotFound, "{} does not exist", object.key);
+    return parseBundle(object.value);
+}
+
+Result<ReadRecords> readRecords(const RolloutObjects& objects)
+{
+    ReadRecords records;
+    std::optional<Error> error;
+    if (!takeRecord(readAccepted(objects.accepted), records.accepted, error)
+        || !takeRecord(readRollout(objects.rollout), records.rollout, error)
+        || !takeRecord(readSignOffs(objects.signOffs), records.signOffs, error)
+        || !takeRecord(readStoredBundle(objects.bundle), records.bundle, error))
+        return *error;
+    if (records.accepted.version == 0)
+        return records;
+    Bundle policy;
+    if (!takeRecord(readStoredBundle(objects.policy), policy, error))
+        return *error;
+    if (policy.version != records.accepted.version)
+        return makeError(ResultCode::AdminConflict, "version {} was accepted meanwhile", records.accepted.version);
+    records.policy = std::move(policy);
+    return records;
+}
+
+bool contains(const OperationList& operations, const std::string& operationId)
+{
+    return std::find(operations.begin(), operations.end(), operationId) != operations.end();
+}
+
+CommandPlan doneAlready() { return { {}, true }; }
+
+Status requireOpen(const AcceptedRecord& accepted, std::uint64_t version)
+{
+    if (accepted.isWithdrawn(version))
+        return makeError(ResultCode::AdminBadState, "version {} is withdrawn", version);
+    if (version <= accepted.version)
+        return makeError(
+            ResultCode::AdminBadState, "version {} is accepted, {} is not newer", accepted.version, version);
+    return okStatus();
+}
+
+Status requireSignOffs(const CommandContext& context, const ReadRecords& records)
+{
+    if (records.policy)
+        return checkSignOffs(*records.policy, records.bundle, records.signOffs.signOffs);
+    return checkFirstSignOffs(context.trustedRoots, records.bundle, records.signOffs.signOffs);
+}
+
+void keepNewest(std::vector<std::uint64_t>& versions)
+{
+    if (versions.size() > keptVersions)
+        versions.erase(versions.begin(), versions.end() - keptVersions);
+}
+
+std::string shortened(std::string text)
+{
+    if (text.size() > maximumAuditTextBytes)
+        text.resize(maximumAuditTextBytes);
+    return text;
+}
+
+} // namespace
+
+Result<std::optional<std::string>> policyKey(const StoredObject& accepted)
+{
+    const auto record = readAccepted(accepted);
+    if (!isOk(record))
+        return errorOf(record);
+    if (valueOf(record).version == 0)
+        return std::optional<std::string>();
+    return std::optional(bundleKey(valueOf(record).version));
+}
+
+Result<CommandPlan> planSubmit(
+    const CommandContext& context, const RolloutObjects& objects, const StoredObject& previous, const Bundle& bundle)
+{
+    const std::string content = serializeBundle(bundle);
+    if (objects.bundle.exists() && objects.bundle.value == content)
+        return doneAlready();
+    if (objects.bundle.exists())
+        return makeError(ResultCode::AdminConflict, "version {} is taken", bundle.version);
+    if (bundle.author != context.operatorName)
+        return makeError(ResultCode::AdminForbidden, "the author is {}, not {}", bundle.author, context.operatorName);
+    const auto accepted = readAccepted(objects.accepted);
+    if (!isOk(accepted))
+        return errorOf(accepted);
+    if (bundle.version <= valueOf(accepted).version)
+        return makeError(ResultCode::BundleVersionNotNewer, "version {} is accepted", valueOf(accepted).version);
+    if (bundle.version > 1 && !previous.exists())
+        return makeError(
+            ResultCode::AdminBadState, "version {} does not exist; versions have no gaps", bundle.version - 1);
+    return CommandPlan { { { bundleKey(bundle.version), 0, content, context.operationId } }, false };
+}
+
+Result<CommandPlan> planSign(const CommandContext& context, const RolloutObjects& objects, const SignOff& signOff)
+{
+    const auto read = readRecords(objects);
+    if (!isOk(read))
+        return errorOf(read);
+    const ReadRecords& records = valueOf(read);
+    const std::uint64_t version = records.bundle.version;
+    const Status open = requireOpen(records.accepted, version);
+    if (!isOk(open))
+        return errorOf(open);
+    const Status valid = checkSignOff(records.policy ? *records.policy : records.bundle, records.bundle, signOff);
+    if (!isOk(valid))
+        return errorOf(valid);
+
+    SignOffRecord next = records.signOffs;
+    if (std::find(next.signOffs.begin(), next.signOffs.end(), signOff) != next.signOffs.end())
+        return doneAlready();
+    // Sign-offs are only ever added: one that acceptance has counted must stay for the instances that check it later.
+    if (next.signOffs.size() >= maximumSignOffs)
+        return makeError(ResultCode::AdminBadState, "version {} has {} sign-offs already", version, maximumSignOffs);
+    next.version = version;
+    next.digest = bundleDigest(records.bundle);
+    next.signOffs.push_back(signOff);
+    noteOperation(next.operations, context.operationId);
+    return CommandPlan {
+        { { signOffsKey(version), objects.signOffs.version, serializeSignOffs(next), context.operationId } }, false
+    };
+}
+
+Result<CommandPlan> planStage(
+    const CommandContext& context, const RolloutObjects& objects, const std::vector<std::string>& zones)
+{
+    const auto read = readRecords(objects);
+    if (!isOk(read))
+        return errorOf(read);
+    const ReadRecords& records = valueOf(read);
+    if (contains(records.rollout.operations, context.operationId))
+        return doneAlready();
+    const std::uint64_t version = records.bundle.version;
+    const Status open = requireOpen(records.accepted, version);
+    if (!isOk(open))
+        return errorOf(open);
+    const std::uint64_t staged = records.rollout.version;
+    if (staged > records.accepted.version && staged != version && !records.accepted.isWithdrawn(staged))
+        return makeError(ResultCode::AdminBadState, "version {} is staged; withdraw or accept it first", staged);
+    if (zones.empty())
+        return makeError(ResultCode::BadParameter, "no zones are named");
+    for (const std::string& name : zones) {
+        const auto& known = records.bundle.zones;
+        if (std::none_of(known.begin(), known.end(), [&name](const Zone& zone) { return zone.name == name; }))
+            return makeError(ResultCode::BundleUnknownReference, "zone {} is not in version {}", name, version);
+    }
+    const Status trusted = requireSignOffs(context, records);
+    if (!isOk(trusted))
+        return errorOf(trusted);
+
+    RolloutRecord next { version, bundleDigest(records.bundle), context.operatorName, zones,
+        records.rollout.operations };
+    noteOperation(next.operations, context.operationId);
+    return CommandPlan {
+        { { std::string(rolloutKey), objects.rollout.version, serializeRollout(next), context.operationId } }, false
+    };
+}
+
+Result<CommandPlan> planWithdraw(const CommandContext& context, const RolloutObjects& objects, std::uint64_t version)
+{
+    if (!objects.bundle.exists())
+        return makeError(ResultCode::AdminNotFound, "version {} does not exist", version);
+    const auto accepted = readAccepted(objects.accepted);
+    if (!isOk(accepted))
+        return errorOf(accepted);
+    const auto rollout = readRollout(objects.rollout);
+    if (!isOk(rollout))
+        return errorOf(rollout);
+    AcceptedRecord next = valueOf(accepted);
+    if (version <= next.version)
+        return makeError(ResultCode::AdminBadState, "version {} is not above the accepted one; roll back", version);
+
+    CommandPlan plan;
+    plan.isAlreadyDone = next.isWithdrawn(version);
+    if (!plan.isAlreadyDone) {
+        next.withdrawn.push_back(version);
+        std::sort(next.withdrawn.begin(), next.withdrawn.end());
+        noteOperation(next.operations, context.operationId);
+        plan.writes.push_back(
+            { std::string(acceptedKey), objects.accepted.version, serializeAccepted(next), context.operationId });
+    }
+    if (valueOf(rollout).version == version) {
+        RolloutRecord cleared { 0, "", context.operatorName, {}, valueOf(rollout).operations };
+        noteOperation(cleared.operations, context.operationId);
+        plan.writes.push_back(
+            { std::string(rolloutKey), objects.rollout.version, serializeRollout(cleared), context.operationId });
+    }
+    return plan;
+}
+
+Result<CommandPlan> planAccept(const CommandContext& context, const RolloutObjects& objects)
+{
+    const auto read = readRecords(objects);
+    if (!isOk(read))
+        return errorOf(read);
+    const ReadRecords& records = valueOf(read);
+    if (contains(records.accepted.operations, context.operationId))
+        return doneAlready();
+    const Bundle& bundle = records.bundle;
+    if (bundle.version == records.accepted.version)
+        return makeError(
+            ResultCode::AdminConflict, "{} has accepted version {}", records.accepted.operatorName, bundle.version);
+    if (bundle.version < records.accepted.version)
+        return makeError(ResultCode::BundleVersionNotNewer, "version {} is accepted", records.accepted.version);
+    const Status open = requireOpen(records.accepted, bundle.version);
+    if (!isOk(open))
+        return errorOf(open);
+    if (bundle.baseVersion != 0 && bundle.baseVersion != records.accepted.version)
+        return makeError(ResultCode::AdminConflict, "version {} changes version {}, but {} is in force", bundle.version,
+            bundle.baseVersion, records.accepted.version);
+    const Status trusted = requireSignOffs(context, records);
+    if (!isOk(trusted))
+        return errorOf(trusted);
+
+    AcceptedRecord next = records.accepted;
+    next.version = bundle.version;
+    next.digest = bundleDigest(bundle);
+    next.operatorName = context.operatorName;
+    next.recent.push_back(bundle.version);
+    keepNewest(next.recent);
+    if (!records.policy || !hasSamePolicy(*records.policy, bundle))
+        next.policyTrail.push_back(bundle.version);
+    keepNewest(next.policyTrail);
+    std::erase_if(next.withdrawn, [&bundle](std::uint64_t version) { return version <= bundle.version; });
+    noteOperation(next.operations, context.operationId);
+    return CommandPlan {
+        { { std::string(acceptedKey), objects.accepted.version, serializeAccepted(next), context.operationId } }, false
+    };
+}
+
+Bundle rollbackBundle(const Bundle& old, const Bundle& current, std::uint64_t version, const std::string& author)
+{
+    Bundle result = old;
+    result.version = version;
+    result.baseVersion = current.version;
+    result.author = author;
+    result.comment = fmt::format("Rollback to version {}", old.version);
+    result.operators = current.operators;
+    result.requiredSignatures = current.requiredSignatures;
+    for (ShiftCap& cap : result.shiftCaps) {
+        for (const ShiftCap& other : current.shiftCaps) {
+            if (other.service == cap.service && other.from == cap.from && other.to == cap.to)
+                cap.epoch = std::max(cap.epoch, other.epoch);
+        }
+    }
+    return result;
+}
+
+Result<CommandPlan> planAudit(const StoredObject& audit, AuditEntry entry)
+{
+    const auto read = readAudit(audit);
+    if (!isOk(read))
+        return errorOf(read);
+    AuditRecord record = valueOf(read);
+    // The identifier is of the entry and not of the command, which has two entries.
+    const std::string entryId = fmt::format("{}/{}", entry.operationId, entry.outcome == "requested" ? 1 : 2);
+    if (contains(record.operations, entryId))
+        return doneAlready();
+    CommandPlan plan;
+    if (record.entries.size() >= auditPageEntries) {
+        // Two operators that copy the same page write the same bytes; the conflict of the second is harmless.
+        plan.writes.push_back({ auditPageKey(record.firstNumber), 0, serializeAudit(record), entryId });
+        AuditRecord next { record.firstNumber + record.entries.size(), record.firstNumber, {}, record.operations };
+        record = std::move(next);
+    }
+    entry.number = record.firstNumber + record.entries.size();
+    entry.detail = shortened(std::move(entry.detail));
+    entry.outcome = shortened(std::move(entry.outcome));
+    record.entries.push_back(std::move(entry));
+    noteOperation(record.operations, entryId);
+    plan.writes.push_back({ std::string(auditKey), audit.version, serializeAudit(record), entryId });
+    return plan;
+}
+
+WriteResolution resolveLostWrite(const ConditionalWrite& write, const StoredObject& readBack)
+{
+    if (readBack.version <= write.ifVersion)
+        return WriteResolution::Repeat;
+    if (readBack.value == write.value || contains(operationsOf(readBack.value), write.operationId))
+        return WriteResolution::Applied;
+    return WriteResolution::Superseded;
+}
+
+NextWriteStep afterWrite(WriteProgress& progress, WriteAnswer answer)
+{
+    ++progress.calls;
+    if (answer == WriteAnswer::Applied)
+        return NextWriteStep::Done;
+    progress.isInDoubt = progress.isInDoubt || answer == WriteAnswer::Lost;
+    progress.hasConflict = answer == WriteAnswer::Conflict;
+    if (!progress.isInDoubt)
+        return NextWriteStep::Conflict;
+    return progress.calls < maximumWriteCalls ? NextWriteStep::ReadBack : NextWriteStep::GiveUp;
+}
+
+NextWriteStep afterReadBack(WriteProgress& progress, const StoredObject& readBack)
+{
+    ++progress.calls;
+    const WriteResolution resolution = resolveLostWrite(progress.write, readBack);
+    if (resolution == WriteResolution::Applied)
+        return NextWriteStep::Done;
+    if (resolution == WriteResolution::Superseded)
+        return NextWriteStep::Conflict;
+    if (progress.calls >= maximumWriteCalls)
+        return NextWriteStep::GiveUp;
+    // After a conflict the object must have changed, so this read was stale.
+    return progress.hasConflict ? NextWriteStep::ReadBack : NextWriteStep::Write;
+}
+
+Result<std::optional<SignedBundle>> readSignedBundle(std::uint64_t version, const ObjectReader& read)
+{
+    const StoredObject object = read(bundleKey(version));
+    if (!object.exists())
+        return std::optional<SignedBundle>();
+    const auto bundle = parseBundle(object.value);
+    if (!isOk(bundle))
+        return errorOf(bundle);
+    const auto signOffs = readSignOffs(read(signOffsKey(version)));
+    if (!isOk(signOffs))
+        return errorOf(signOffs);
+    return std::optional(SignedBundle { std::make_shared<const Bundle>(valueOf(bundle)), valueOf(signOffs).signOffs });
+}
+
+Status addPolicyTrail(RolloutView& view, std::uint64_t heldVersion, const ObjectReader& read)
+{
+    std::vector<SignedBundle> trail;
+    for (const std::uint64_t version : view.policyTrail) {
+        if (version <= heldVersion)
+            continue;
+        const auto entry = readSignedBundle(version, read);
+        if (!isOk(entry))
+            return errorOf(entry);
+        if (valueOf(entry))
+            trail.push_back(*valueOf(entry));
+    }
+    const auto fill = [&trail](std::optional<Candidate>& candidate) {
+        if (!candidate)
+            return;
+        for (const SignedBundle& entry : trail) {
+            if (entry.bundle->version < candidate->content.bundle->version)
+                candidate->policyTrail.push_back(entry);
+        }
+    };
+    fill(view.accepted);
+    fill(view.staged);
+    return okStatus();
+}
+
+Result<RolloutView> viewRollout(const StoredObject& accepted, const StoredObject& rollout, const ObjectReader& read)
+{
+    const auto acceptedRecord = readAccepted(accepted);
+    if (!isOk(acceptedRecord))
+        return errorOf(acceptedRecord);
+    const auto rolloutRecord = readRollout(rollout);
+    if (!isOk(rolloutRecord))
+        return errorOf(rolloutRecord);
+    const AcceptedRecord& inForce = valueOf(acceptedRecord);
+    const RolloutRecord& trial = valueOf(rolloutRecord);
+
+    RolloutView view;
+    view.policyTrail = inForce.policyTrail;
+    view.rolloutRevision = rollout.version;
+    if (inForce.version != 0) {
+        const auto content = readSignedBundle(inForce.version, read);
+        if (!isOk(content))
+            return errorOf(content);
+        if (valueOf(content))
+            view.accepted = Candidate { CandidateKind::Accepted, *valueOf(content), inForce.digest, {}, 0, {} };
+    }
+    if (trial.version > inForce.version && !inForce.isWithdrawn(trial.version)) {
+        const auto content = readSignedBundle(trial.version, read);
+        if (!isOk(content))
+            return errorOf(content);
+        if (valueOf(content))
+            view.staged = Candidate { CandidateKind::Staged, *valueOf(content), trial.digest, trial.zones,
+                rollout.version, {} };
+    }
+    return view;
+}
+
+} // namespace clementinefall::bundle
--- a/src/libs/bundle/tst_adoption.cpp
+++ b/src/libs/bundle/tst_adoption.cpp
@@ -134,6 +134,10 @@
     SECTION("a changed order is shown, because it changes the digest; equal bundles have no difference")
     {
         CHECK(diffBundles(before, after).empty());
+        after.baseVersion = 2;
+        CHECK(diffBundles(before, after).at(0).text() == "+ baseVersion: 2");
+        CHECK(diffBundles(after, before).at(0).text() == "- baseVersion: 2");
+        after.baseVersion = 0;
         std::swap(after.zones[0], after.zones[1]);
         REQUIRE(diffBundles(before, after).size() == 1);
         CHECK(diffBundles(before, after)[0].path == "zones");
--- a/src/libs/bundle/tst_bundlecodec.cpp
+++ b/src/libs/bundle/tst_bundlecodec.cpp
@@ -57,6 +57,16 @@
         CHECK(serializeBundle(valueOf(parsed)) == text);
     }
 
+    SECTION("the base version is written only when it is stated, so that digests of older bundles stay the same")
+    {
+        CHECK(text.find("baseVersion") == std::string::npos);
+        Bundle derived = bundle;
+        derived.baseVersion = 2;
+        const auto parsed = parseBundle(serializeBundle(derived));
+        REQUIRE(isOk(parsed));
+        CHECK(valueOf(parsed) == derived);
+    }
+
     SECTION("each kind of mistake has its own number and names its place")
     {
         CHECK(codeOf("{") == ResultCode::BundleNotJson);
