Add the membership slice: member table, step functions and datagrams

Cause: entry instances need to know which others are live, leaving or dead at a cost that does not grow with the fleet, without a coordination service.

Change: pure step functions tick(), receive() and leave() over MemberTable, with random probes, one probe of the ring successor in each period, indirect probes, suspicion, refutation, piggybacked updates, table pages for joining and repair, and probes of dead members. Random incarnations are ordered by the answer of the address to a probe; others accept the result through the record's `supersedes` field.

Dead members are held dead everywhere within 5.5 s in a fleet of 12.

--- /dev/null
+++ b/src/libs/membership/tst_memberstep.cpp
@@ -0,0 +1,281 @@
+#include "membership/fakefleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace clementinefall;
+using namespace clementinefall::membership;
+
+namespace {
+
+constexpr std::size_t fleet = 12;
+constexpr std::size_t zones = 6;
+
+/// Time from \a since until each running instance holds \a node as dead; 0 when that does not happen in 20 s.
+milliseconds timeUntilDead(FakeFleet& network, std::size_t node)
+{
+    const TimePoint since = network.now;
+    const auto running = static_cast<std::size_t>(std::count_if(
+        network.nodes.begin(), network.nodes.end(), [](const FakeFleet::Node& entry) { return entry.running; }));
+    while (network.now < since + seconds(20)) {
+        network.runFor(milliseconds(50));
+        if (network.countHolding(node, MemberState::Dead) == running)
+            return std::chrono::duration_cast<milliseconds>(network.now - since);
+    }
+    return milliseconds(0);
+}
+
+} // namespace
+
+TEST_CASE("Members find each other and stay live")
+{
+    FakeFleet network(fleet, zones, 11);
+    network.encode = true;
+    network.runFor(seconds(8));
+    REQUIRE(network.isCalm());
+    CHECK(std::all_of(network.nodes.begin(), network.nodes.end(),
+        [](const FakeFleet::Node& node) { return isOfferable(node.table); }));
+
+    SECTION("a calm fleet with 1% loss declares nobody dead in ten minutes")
+    {
+        network.loss = 0.01;
+        network.changes.clear();
+        network.runFor(minutes(10));
+        CHECK(network.countChanges(MemberState::Dead) == 0);
+        network.loss = 0;
+        network.runFor(seconds(10));
+        CHECK(network.isCalm());
+    }
+
+    SECTION("a dead member is suspect within 2 s and dead everywhere within 5.5 s")
+    {
+        // Guards the bounds of the design page, section 9.
+        for (std::size_t node = 0; node < 6; ++node) {
+            network.changes.clear();
+            const TimePoint since = network.now;
+            network.kill(node);
+            const milliseconds time = timeUntilDead(network, node);
+            CHECK(time > milliseconds(0));
+            CHECK(time <= milliseconds(5500));
+            CHECK(network.changes.front().change.record.state == MemberState::Suspect);
+            CHECK(network.changes.front().time - since <= milliseconds(2000));
+        }
+    }
+
+    SECTION("a member that leaves is seen as leaving, then dead, and is not suspected in between")
+    {
+        Step step;
+        leave(network.nodes[4].table, network.now, network.random, step);
+        CHECK_FALSE(isOfferable(network.nodes[4].table));
+        network.changes.clear();
+        network.runFor(seconds(3));
+        CHECK(network.countHolding(4, MemberState::Leaving) == fleet - 1);
+        network.kill(4);
+        CHECK(timeUntilDead(network, 4) > milliseconds(0));
+        CHECK(network.countChanges(MemberState::Suspect) == 0);
+    }
+
+    SECTION("a member that is told of its suspicion refutes it")
+    {
+        const MemberRecord accused = findMember(network.nodes[0].table, FakeFleet::addressOf(5))->record;
+        Message message;
+        message.kind = MessageKind::Ping;
+        message.sequence = network.nodes[1].table.sequence + 10;
+        message.sender = network.nodes[1].table.self;
+        message.updates = { accused };
+        message.updates.front().state = MemberState::Suspect;
+        Step step;
+        receive(network.nodes[0].table, network.now, network.random, message, step);
+        REQUIRE(network.countHolding(5, MemberState::Suspect) == 1);
+        network.changes.clear();
+        network.runFor(seconds(6));
+        CHECK(network.isCalm());
+        CHECK(network.countChanges(MemberState::Dead) == 0);
+        CHECK(network.nodes[5].table.self.refutations == accused.refutations + 1);
+    }
+
+    SECTION("a paused member returns with the same incarnation and announces itself")
+    {
+        const std::uint64_t incarnation = network.nodes[3].table.self.incarnation;
+        network.pause(3);
+        network.runFor(seconds(12));
+        CHECK(network.countHolding(3, MemberState::Dead) == fleet - 1);
+        network.changes.clear();
+        network.resume(3);
+        network.runFor(milliseconds(50));
+        CHECK(network.nodes[3].resumed);
+        network.runFor(seconds(8));
+        CHECK(network.isCalm());
+        CHECK(isOfferable(network.nodes[3].table));
+        CHECK(network.nodes[3].table.self.incarnation == incarnation);
+        // Its own deadlines passed during the pause; it must not blame the others.
+        CHECK(network.countChanges(MemberState::Dead) == 0);
+        CHECK(network.countChanges(MemberState::Suspect) == 0);
+    }
+
+    SECTION("a replacement at the same address takes the place of its predecessor")
+    {
+        const bool hasDied = GENERATE(false, true);
+        const std::uint64_t old = network.nodes[7].table.self.incarnation;
+        network.kill(7);
+        network.runFor(hasDied ? seconds(10) : seconds(0));
+        network.start(7, zones, 3, fleet);
+        network.runFor(seconds(8));
+        CHECK(network.isCalm());
+        for (std::size_t i = 0; i < fleet; ++i) {
+            const Member* member = findMember(network.nodes[i].table, FakeFleet::addressOf(7));
+            if (i != 7)
+                CHECK(member->retired == std::vector<std::uint64_t> { old });
+        }
+
+        SECTION("and a late record of the predecessor changes nothing")
+        {
+            Message message;
+            message.sequence = 1'000'000;
+            message.sender = network.nodes[1].table.self;
+            message.updates = { findMember(network.nodes[0].table, FakeFleet::addressOf(7))->record };
+            message.updates.front().incarnation = old;
+            message.updates.front().refutations = 99;
+            Step step;
+            receive(network.nodes[0].table, network.now, network.random, message, step);
+            CHECK(step.changes.empty());
+            CHECK(network.isCalm());
+        }
+    }
+
+    SECTION("a paused process whose address was taken over learns it")
+    {
+        MemberTable paused = network.nodes[2].table;
+        network.start(2, zones, 3, fleet);
+        network.runFor(seconds(8));
+        Message message;
+        message.sender = network.nodes[6].table.self;
+        message.sequence = 1'000'000;
+        message.updates = { findMember(network.nodes[6].table, FakeFleet::addressOf(2))->record };
+        Step step;
+        receive(paused, network.now, network.random, message, step);
+        CHECK(step.superseded);
+        CHECK_FALSE(isOfferable(paused));
+    }
+}
+
+TEST_CASE("Members under one-way loss and partitions")
+{
+    FakeFleet network(fleet, zones, 12);
+    network.runFor(seconds(8));
+    REQUIRE(network.isCalm());
+    network.changes.clear();
+
+    SECTION("one direction lost between two members kills nobody, because others relay the probe")
+    {
+        network.isCut = [](std::size_t from, std::size_t to) { return from == 1 && to == 2; };
+        network.runFor(minutes(2));
+        CHECK(network.countChanges(MemberState::Dead) == 0);
+    }
+
+    SECTION("a member that cannot receive is dead to the others and kills none of them")
+    {
+        // Its own suspicions of everybody still reach the others, who refute them.
+        network.isCut = [](std::size_t, std::size_t to) { return to == 5; };
+        network.runFor(seconds(30));
+        CHECK(network.countHolding(5, MemberState::Dead) == fleet - 1);
+        const bool othersDied = std::any_of(
+            network.changes.begin(), network.changes.end(), [](const FakeFleet::ObservedChange& observed) {
+                return observed.observer != 5 && observed.change.record.state == MemberState::Dead
+                    && FakeFleet::nodeOf(observed.change.record.address) != 5;
+            });
+        CHECK_FALSE(othersDied);
+        network.isCut = [](std::size_t, std::size_t) { return false; };
+        network.runFor(seconds(20));
+        CHECK(network.isCalm());
+    }
+
+    SECTION("both sides of a partition find each other again")
+    {
+        network.isCut = [](std::size_t from, std::size_t to) { return (from < 4) != (to < 4); };
+        network.runFor(minutes(60));
+        CHECK(network.countHolding(0, MemberState::Dead) == 8);
+        CHECK(network.countHolding(11, MemberState::Dead) == 4);
+        network.isCut = [](std::size_t, std::size_t) { return false; };
+        network.runFor(seconds(20));
+        CHECK(network.isCalm());
+    }
+}
+
+TEST_CASE("Messages that the table refuses")
+{
+    Random random(5);
+    const TimePoint now { seconds(50) };
+    MemberRecord self { "a", "z", { "10.0.0.1", 1 }, 11 };
+    MemberRecord peer { "b", "z", { "10.0.0.2", 1 }, 22 };
+    MemberTable table = makeMemberTable(self, {}, now, random);
+    Message message;
+    message.sender = peer;
+    message.sequence = 5;
+    Step first;
+    receive(table, now, random, message, first);
+    REQUIRE(first.errors.empty());
+    REQUIRE(first.sends.size() == 1);
+
+    Step step;
+    SECTION("a copy is not answered") { receive(table, now, random, message, step); }
+    SECTION("an answer to no probe is dropped")
+    {
+        message.kind = MessageKind::Ack;
+        message.sequence = 6;
+        receive(table, now, random, message, step);
+    }
+    SECTION("an own message that comes back is dropped")
+    {
+        message.sender = self;
+        receive(table, now, random, message, step);
+    }
+    REQUIRE(step.errors.size() == 1);
+    CHECK(step.errors.front().code == ResultCode::PeerBadMessage);
+    CHECK(step.sends.empty());
+    CHECK(table.members.size() == 1);
+}
+
+TEST_CASE("Cost for each instance does not grow with the fleet")
+{
+    struct Cost {
+        double messages = 0;
+        double bytes = 0;
+    };
+    const auto measure = [](FakeFleet& network, seconds time) {
+        Cost cost;
+        for (FakeFleet::Node& node : network.nodes)
+            node.messagesSent = node.bytesSent = 0;
+        network.runFor(time);
+        const double share = 1.0 / static_cast<double>(network.nodes.size()) / static_cast<double>(time.count());
+        for (const FakeFleet::Node& node : network.nodes) {
+            cost.messages += static_cast<double>(node.messagesSent) * share;
+            cost.bytes += static_cast<double>(node.bytesSent) * share;
+        }
+        return cost;
+    };
+    FakeFleet small(12, 12, 21);
+    FakeFleet large(200, 12, 22);
+    small.encode = large.encode = true;
+
+    SECTION("all of them start at once: bounded while the tables are read")
+    {
+        const Cost start = measure(large, seconds(30));
+        CHECK(large.isCalm());
+        CHECK(start.messages <= 12.0);
+        CHECK(start.bytes <= 5'000.0);
+    }
+
+    SECTION("a calm fleet")
+    {
+        small.runFor(seconds(120));
+        large.runFor(seconds(120));
+        const Cost smallCost = measure(small, seconds(30));
+        const Cost largeCost = measure(large, seconds(30));
+        CHECK(largeCost.messages <= smallCost.messages * 1.1);
+        CHECK(largeCost.messages <= 5.0);
+        CHECK(largeCost.bytes <= smallCost.bytes * 1.5);
+        CHECK(largeCost.bytes <= 800.0);
+    }
+}
