Start the traffic threads with a work guard and avoid co_await in conditionals

Cause: a traffic thread whose io_context had no work yet ended at once, so a connection handed to it was never served (seen as a lookup request that hung with the second of two threads); and g++ 12 freed a temporary twice where a conditional expression contained co_await (seen as a garbled log line). Ruled out: the handler dispatch and the upstream connect, by a stack trace of all threads that showed only one of two traffic threads. Change: work guard per traffic context; plain if/else around co_await. Before: requests hung.

--- a/src/app/entry/bundlewatcher.cpp
+++ b/src/app/entry/bundlewatcher.cpp
@@ -45,7 +45,12 @@
     unsigned failures = 0;
     while (!self->stopped) {
         const auto changed = co_await self->client->watch("bundles", revision, watchWait);
-        const Status fetched = isOk(changed) ? co_await self->fetchAccepted() : Status(errorOf(changed));
+        // g++ 12 frees temporaries twice when a conditional expression contains co_await.
+        Status fetched = okStatus();
+        if (isOk(changed))
+            fetched = co_await self->fetchAccepted();
+        else
+            fetched = errorOf(changed);
         if (isOk(fetched)) {
             revision = valueOf(changed).revision;
             failures = 0;
@@ -53,7 +58,7 @@
         }
         ++failures;
         logWarning("platform_call_failed", { { "error", errorOf(fetched).text() }, { "failures", failures } });
-        asio::steady_timer timer(co_await asio::this_coro::executor, backoffDelay(failures, self->random));
+        asio::steady_timer timer(co_await asio::this_coro::executor, platform::backoffDelay(failures, self->random));
         co_await timer.async_wait(useTuple);
     }
 }
@@ -61,8 +66,10 @@
 Awaitable<Status> BundleWatcher::fetchAccepted()
 {
     const auto record = co_await this->client->read("bundles", "accepted");
+    if (!isOk(record) && errorOf(record).code == ResultCode::PlatformNotFound)
+        co_return okStatus();
     if (!isOk(record))
-        co_return errorOf(record).code == ResultCode::PlatformNotFound ? okStatus() : Status(errorOf(record));
+        co_return errorOf(record);
     const auto version = acceptedVersion(valueOf(record).value);
     if (!version)
         co_return makeError(ResultCode::PlatformBadAnswer, "bundles/accepted cannot be read");
--- a/src/app/entry/entryinstance.cpp
+++ b/src/app/entry/entryinstance.cpp
@@ -91,10 +91,7 @@
     return okStatus();
 }
 
-void EntryInstance::run()
-{
-    this->control.run();
-}
+void EntryInstance::run() { this->control.run(); }
 
 void EntryInstance::adopt(std::shared_ptr<const bundle::Bundle> bundle)
 {
@@ -158,10 +155,11 @@
     if (target && target->path == "/healthz")
         response = http::jsonResponse(200, "{\"healthy\":true}\n");
     else if (target && target->path == "/readyz" && routing && !this->stopRequested)
-        response = http::jsonResponse(200, fmt::format("{{\"ready\":true,\"bundleVersion\":{}}}\n", routing->snapshot->version));
+        response = http::jsonResponse(
+            200, fmt::format("{{\"ready\":true,\"bundleVersion\":{}}}\n", routing->snapshot->version));
     else if (target && target->path == "/readyz")
-        response = http::errorResponse(makeError(
-            this->stopRequested ? ResultCode::NotRunStopping : ResultCode::NotRunNoBundle, "not ready"));
+        response = http::errorResponse(
+            makeError(this->stopRequested ? ResultCode::NotRunStopping : ResultCode::NotRunNoBundle, "not ready"));
     else
         response = http::errorResponse(makeError(ResultCode::NotFound, "there is no such resource"));
     co_await exchange->respond(std::move(response));
--- a/src/app/entry/entryinstance.h
+++ b/src/app/entry/entryinstance.h
@@ -5,6 +5,7 @@
 #include "http/server.h"
 #include "requests/callerapi.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,6 +34,8 @@
 private:
     struct TrafficRunner {
         asio::io_context context { 1 };
+        /// Keeps the thread running while it has no connection.
+        asio::executor_work_guard<asio::io_context::executor_type> guard { this->context.get_executor() };
         std::unique_ptr<requests::TrafficThread> thread;
         std::thread runner;
     };
