--- a/src/tools/backend/main.cpp
+++ b/src/tools/backend/main.cpp
@@ -16,10 +16,10 @@
 DEFINE_string(control, "127.0.0.1:9400", "address and port of the control API");
 DEFINE_uint64(seed, 1, "seed of the service times");
 DEFINE_uint32(threads, 2, "number of threads, 1 to 64");
-DEFINE_double(coldFactor, 4.0, "service time multiple right after a start, 1 to 100");
-DEFINE_uint32(coldMs, 5000, "time in ms in which the multiple falls to 1");
-DEFINE_uint32(restartMs, 3000, "time in ms for which connects are refused after a crash");
-DEFINE_uint32(reportLagMs, 0, "age in ms of the health and load reports");
+DEFINE_double(cold_factor, 4.0, "service time multiple right after a start, 1 to 100");
+DEFINE_uint32(cold_ms, 5000, "time in ms in which the multiple falls to 1");
+DEFINE_uint32(restart_ms, 3000, "time in ms for which connects are refused after a crash");
+DEFINE_uint32(report_lag_ms, 0, "age in ms of the health and load reports");
 
 using namespace clementinefall;
 
@@ -45,8 +45,8 @@
         return makeError(ResultCode::SettingsMissingKey, "--bundle is required");
     if (FLAGS_threads < 1 || FLAGS_threads > 64)
         return makeError(ResultCode::SettingsOutOfRange, "--threads: {} is not in 1..64", FLAGS_threads);
-    if (FLAGS_coldFactor < 1.0 || FLAGS_coldFactor > 100.0)
-        return makeError(ResultCode::SettingsOutOfRange, "--coldFactor: {} is not in 1..100", FLAGS_coldFactor);
+    if (FLAGS_cold_factor < 1.0 || FLAGS_cold_factor > 100.0)
+        return makeError(ResultCode::SettingsOutOfRange, "--cold-factor: {} is not in 1..100", FLAGS_cold_factor);
     return okStatus();
 }
 
@@ -66,10 +66,10 @@
     for (unsigned i = 0; i < FLAGS_threads; ++i)
         contexts.push_back(std::make_unique<asio::io_context>(1));
     backend::ServerProfile profile;
-    profile.coldFactor = FLAGS_coldFactor;
-    profile.coldTime = milliseconds(FLAGS_coldMs);
-    profile.restartTime = milliseconds(FLAGS_restartMs);
-    profile.reportLag = milliseconds(FLAGS_reportLagMs);
+    profile.coldFactor = FLAGS_cold_factor;
+    profile.coldTime = milliseconds(FLAGS_cold_ms);
+    profile.restartTime = milliseconds(FLAGS_restart_ms);
+    profile.reportLag = milliseconds(FLAGS_report_lag_ms);
     std::vector<std::shared_ptr<backend::SimServer>> servers;
     for (const bundle::Service& service : valueOf(read).services) {
         for (const bundle::BackendServer& server : service.servers) {
