--- a/src/tools/backend/tst_simserver.cpp
+++ b/src/tools/backend/tst_simserver.cpp
@@ -161,7 +161,12 @@
         const ConnectionPtr queuedOn = fixture.connection();
         auto queued = fixture.start(queuedOn, requestFor("/a", "queued"));
         auto next = fixture.start(fixture.connection(), requestFor("/a", "queued"));
-        while (valueOf(fixture.call(requestFor("/load", {}))).body().find("\"queue\":2") == std::string::npos) { }
+        bool isQueued = false;
+        for (int i = 0; i < 1000 && !isQueued; ++i) {
+            const Answer load = fixture.call(requestFor("/load", {}));
+            isQueued = isOk(load) && valueOf(load).body().find("\"queue\":2") != std::string::npos;
+        }
+        REQUIRE(isQueued);
         CHECK(notRunReason(fixture.call(requestFor("/a", "excess"))) == "shed");
 
         http::Request cancel { http::Verb::delete_, "/requests/run", 11 };
