--- a/src/libs/steering/locality.cpp
+++ b/src/libs/steering/locality.cpp
@@ -126,6 +126,21 @@
     return { zone, ResultCode::Answered };
 }
 
+std::optional<Index> chooseZonePeer(const RoutingSnapshot& snapshot, const FleetView& view)
+{
+    std::optional<Index> best;
+    if (!snapshot.ownZone)
+        return best;
+    for (const Index instance : snapshot.zones[*snapshot.ownZone].instances) {
+        if (instance == snapshot.ownInstance || view.members[instance] != MemberState::Live
+            || snapshot.instances[instance].isDrained || view.instanceHeadroom[instance] == 0)
+            continue;
+        if (!best || view.instanceHeadroom[instance] > view.instanceHeadroom[*best])
+            best = instance;
+    }
+    return best;
+}
+
 bool leavesCapacity(unsigned remainingSlots, unsigned busySlots) { return remainingSlots * 10ULL >= busySlots * 11ULL; }
 
 Result<ClientBlockTable> buildClientBlocks(std::vector<ClientBlock> blocks, std::vector<SiteRanking> rankings)
--- a/src/libs/steering/locality.h
+++ b/src/libs/steering/locality.h
@@ -54,6 +54,10 @@
 OverflowChoice chooseOverflow(OverflowTable& table, ShiftCapTable& caps, const RoutingSnapshot& snapshot,
     const FleetView& view, Index service, Index callerZone, bundle::Priority priority, TimePoint now);
 
+/// The live peer in the own zone that reports the most free slots, for a request that the own share has no slot for.
+/// Empty when no peer has any.
+std::optional<Index> chooseZonePeer(const RoutingSnapshot& snapshot, const FleetView& view);
+
 /// True if the \a remainingSlots that a drain leaves are enough for \a busySlots with a reserve of a tenth. A drain for
 /// which this is false is slowed and reported.
 bool leavesCapacity(unsigned remainingSlots, unsigned busySlots);
