Grant overflow in requests and offer work to peers of the own zone

Cause: a grant counted free slots and lapsed after one use of each, so little of the free capacity elsewhere was used; and a request was refused although another instance of the zone had a free slot of the same servers.

Change: grants count the requests that free slots can run until the next one, divided by the averaged demand; chooseZonePeer() finds the peer with free slots. bench_steering counts nothrow allocations too, which the address sanitizer reported as mismatched with delete.

Tests pass under address and undefined sanitizers.

The rest of the refusals comes from bursts, since the entry instances do not queue.

--- a/src/libs/steering/bench_steering.cpp
+++ b/src/libs/steering/bench_steering.cpp
@@ -27,8 +27,15 @@
     std::abort();
 }
 
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept
+{
+    ++allocations;
+    return std::malloc(size == 0 ? 1 : size);
+}
+
 void operator delete(void* memory) noexcept { std::free(memory); }
 void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+void operator delete(void* memory, const std::nothrow_t&) noexcept { std::free(memory); }
 
 using namespace clementinefall;
 using namespace clementinefall::steering;
@@ -271,10 +278,11 @@
     constexpr double limitNs = 50'000;
     bool hasAllocated = false;
     double most = 0;
-    for (const Deployment deployment : deployments)
+    for (const Deployment deployment : deployments) {
         most = std::max(most,
             measureDecisions(
                 deploymentName(deployment), deploymentBundle(deployment, 1'000, 1ULL << 50U), 1'000, hasAllocated));
+    }
     most = std::max(most, measureDecisions("design-scale", designScaleBundle(), 140'000, hasAllocated));
     return { !hasAllocated && most < limitNs, fmt::format("max_ns={:.0f},allocations={}", most, hasAllocated ? 1 : 0) };
 }
--- a/src/libs/steering/benchfleet.cpp
+++ b/src/libs/steering/benchfleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace clementinefall::steering::bench {
 
@@ -193,34 +194,40 @@
         }
     }
 
-    /// Each zone keeps half of its free slots and divides the other half among the instances of the other zones.
+    /// Each zone divides what its free slots can run until the next grant among the instances that ask.
     void grantHeadroom()
     {
         for (Index service = 0; service < this->routes->services.size(); ++service) {
-            for (Index zone = 0; zone < this->routes->zones.size(); ++zone) {
-                unsigned freeNow = 0;
-                for (const Index member : this->routes->zones[zone].instances)
-                    freeNow += freeSlots(this->instances[member].table, service, this->now);
-                std::vector<unsigned> asked;
-                for (std::uint32_t at = 0; at < this->instances.size(); ++at)
-                    asked.push_back(this->routes->instances[at].zone == zone ? 0 : this->wanted(service, at));
-                const auto parts = divideHeadroom(freeNow / 2, asked);
-                for (std::uint32_t at = 0; at < this->instances.size(); ++at) {
-                    Instance& instance = this->instances[at];
-                    recordGrant(instance.view, instance.overflow, *this->routes, service, zone, parts[at], this->now);
-                }
-            }
-        }
-        for (Instance& instance : this->instances) {
-            for (std::uint32_t at = 0; at < this->instances.size(); ++at)
-                instance.view.instanceHeadroom[at] = freeSlots(this->instances[at].table, 0, this->now);
+            std::vector<unsigned> demand;
+            for (Instance& instance : this->instances)
+                demand.push_back(takeDemand(instance.overflow, service));
+            for (Index zone = 0; zone < this->routes->zones.size(); ++zone)
+                this->grantZone(service, zone, demand);
         }
     }
 
-    /// An instance asks for headroom when it has little of its own.
-    unsigned wanted(Index service, std::uint32_t at) const
+    void grantZone(Index service, Index zone, const std::vector<unsigned>& demand)
     {
-        return freeSlots(this->instances[at].table, service, this->now) < 2 ? 8 : 0;
+        const auto& members = this->routes->zones[zone].instances;
+        std::vector<unsigned> slots;
+        slots.reserve(members.size());
+        for (const Index member : members)
+            slots.push_back(freeSlots(this->instances[member].table, service, this->now));
+        for (const Index member : members) {
+            auto& peerSlots = this->instances[member].view.peerSlots;
+            std::copy(
+                slots.begin(), slots.end(), peerSlots.begin() + static_cast<std::ptrdiff_t>(service * members.size()));
+        }
+        const Duration latency = meanLatency(this->instances[members.front()].table, service);
+        const unsigned freeNow = std::accumulate(slots.begin(), slots.end(), 0U);
+        std::vector<unsigned> asked = demand;
+        for (const Index member : members)
+            asked[member] = 0;
+        const auto parts = divideHeadroom(requestsWithin(freeNow, tickPeriod, latency), asked);
+        for (std::uint32_t at = 0; at < this->instances.size(); ++at) {
+            Instance& instance = this->instances[at];
+            recordGrant(instance.view, instance.overflow, *this->routes, service, zone, parts[at], this->now);
+        }
     }
 
     void report()
@@ -271,7 +278,7 @@
             this->result.figures.refused += instance.pausedUntil > this->now ? 1 : 0;
             return;
         }
-        const auto peer = chooseZonePeer(*instance.snapshot, instance.view);
+        const auto peer = chooseZonePeer(*instance.snapshot, instance.view, request.service);
         if (peer && this->instances[*peer].pausedUntil <= this->now && this->admitAt(*peer, request))
             return;
         const OverflowChoice choice = chooseOverflow(instance.overflow, instance.caps, *instance.snapshot,
--- a/src/libs/steering/locality.cpp
+++ b/src/libs/steering/locality.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace clementinefall::steering {
 
@@ -11,6 +12,10 @@
 /// Delay that is as bad as having half of the headroom.
 constexpr double delayScaleMs = 50;
 
+/// Weight of the newest period in the demand. Arrivals are bursty; a grant for the last period alone misses the next
+/// one.
+constexpr double demandWeight = 0.3;
+
 struct ScoredZone {
     std::optional<Index> zone;
     double score = 0;
@@ -63,29 +68,46 @@
     OverflowTable table;
     table.targets.resize(snapshot.services.size() * snapshot.zones.size());
     table.sentSinceGrant.resize(snapshot.services.size() * snapshot.zones.size());
+    table.demand.resize(snapshot.services.size());
+    table.averageDemand.resize(snapshot.services.size());
     return table;
 }
 
+unsigned takeDemand(OverflowTable& table, Index service)
+{
+    double& average = table.averageDemand[service];
+    average += demandWeight * (std::exchange(table.demand[service], 0) - average);
+    return static_cast<unsigned>(std::ceil(average));
+}
+
+unsigned requestsWithin(unsigned freeSlots, Duration period, Duration latency)
+{
+    const double perSlot = latency > Duration::zero()
+        ? std::chrono::duration<double>(period) / std::chrono::duration<double>(latency)
+        : 1;
+    return static_cast<unsigned>(freeSlots * std::max(1.0, perSlot));
+}
+
 void recordGrant(FleetView& view, OverflowTable& table, const RoutingSnapshot& snapshot, Index service, Index zone,
-    unsigned slots, TimePoint now)
+    unsigned requests, TimePoint now)
 {
     const std::size_t at = cell(snapshot, service, zone);
-    view.grants[at] = { slots, now };
+    view.grants[at] = { requests, now };
     table.sentSinceGrant[at] = 0;
 }
 
-std::vector<unsigned> divideHeadroom(unsigned freeSlots, std::span<const unsigned> asked)
+std::vector<unsigned> divideHeadroom(unsigned freeRequests, std::span<const unsigned> asked)
 {
     const std::uint64_t sum = std::accumulate(asked.begin(), asked.end(), std::uint64_t(0));
     std::vector<unsigned> result(asked.begin(), asked.end());
-    if (sum <= freeSlots)
+    if (sum <= freeRequests)
         return result;
     std::uint64_t passedBefore = 0;
     std::uint64_t passed = 0;
     for (std::size_t at = 0; at < asked.size(); ++at) {
         // Rounding the running sum instead of each part keeps the total exact.
         passed += asked[at];
-        result[at] = static_cast<unsigned>(freeSlots * passed / sum - freeSlots * passedBefore / sum);
+        result[at] = static_cast<unsigned>(freeRequests * passed / sum - freeRequests * passedBefore / sum);
         passedBefore = passed;
     }
     return result;
@@ -94,6 +116,7 @@
 OverflowChoice chooseOverflow(OverflowTable& table, ShiftCapTable& caps, const RoutingSnapshot& snapshot,
     const FleetView& view, Index service, Index callerZone, bundle::Priority priority, TimePoint now)
 {
+    ++table.demand[service];
     OverflowTarget& target = table.targets[cell(snapshot, service, callerZone)];
     const Index callerRegion = snapshot.zones[callerZone].region;
     ScoredZone best;
@@ -126,17 +149,21 @@
     return { zone, ResultCode::Answered };
 }
 
-std::optional<Index> chooseZonePeer(const RoutingSnapshot& snapshot, const FleetView& view)
+std::optional<Index> chooseZonePeer(const RoutingSnapshot& snapshot, const FleetView& view, Index service)
 {
     std::optional<Index> best;
     if (!snapshot.ownZone)
         return best;
-    for (const Index instance : snapshot.zones[*snapshot.ownZone].instances) {
+    const auto& peers = snapshot.zones[*snapshot.ownZone].instances;
+    unsigned most = 0;
+    for (std::size_t at = 0; at < peers.size(); ++at) {
+        const Index instance = peers[at];
+        const unsigned slots = view.peerSlots[service * peers.size() + at];
         if (instance == snapshot.ownInstance || view.members[instance] != MemberState::Live
-            || snapshot.instances[instance].isDrained || view.instanceHeadroom[instance] == 0)
+            || snapshot.instances[instance].isDrained || slots <= most)
             continue;
-        if (!best || view.instanceHeadroom[instance] > view.instanceHeadroom[*best])
-            best = instance;
+        best = instance;
+        most = slots;
     }
     return best;
 }
--- a/src/libs/steering/locality.h
+++ b/src/libs/steering/locality.h
@@ -30,18 +30,29 @@
 struct OverflowTable {
     std::vector<OverflowTarget> targets;
     std::vector<unsigned> sentSinceGrant; ///< By service × zones + target zone.
+    std::vector<unsigned> demand; ///< Requests that needed another zone since takeDemand(), by service.
+    std::vector<double> averageDemand; ///< Moving average of `demand` over the calls, by service.
 };
 
 OverflowTable makeOverflowTable(const RoutingSnapshot& snapshot);
 
+/// Requests of \a service that are likely to need another zone until the next call, from the average of the past
+/// periods. The instance asks the other zones for as many.
+unsigned takeDemand(OverflowTable& table, Index service);
+
+/// Requests that \a freeSlots can run within \a period when one takes \a latency; at least one per slot. Zero latency
+/// means that it is unknown.
+unsigned requestsWithin(unsigned freeSlots, Duration period, Duration latency);
+
+/// Divides \a freeRequests among the instances that asked for headroom, in proportion to what they asked for. The sum
+/// never exceeds the free requests.
+std::vector<unsigned> divideHeadroom(unsigned freeRequests, std::span<const unsigned> asked);
+
 /// Records a grant of \a zone to this instance: the number of requests that it may send there until the next grant, for
-/// at most 2 s. The granting side divides its free slots among the zones that ask, see divideHeadroom().
+/// at most 2 s. The granting side admits each request again, so a grant that is too high costs refusals but no
+/// overload.
 void recordGrant(FleetView& view, OverflowTable& table, const RoutingSnapshot& snapshot, Index service, Index zone,
-    unsigned slots, TimePoint now);
-
-/// Divides \a freeSlots among the instances that asked for headroom, in proportion to what they asked for. The sum
-/// never exceeds the free slots.
-std::vector<unsigned> divideHeadroom(unsigned freeSlots, std::span<const unsigned> asked);
+    unsigned requests, TimePoint now);
 
 struct OverflowChoice {
     std::optional<Index> zone;
@@ -54,9 +65,9 @@
 OverflowChoice chooseOverflow(OverflowTable& table, ShiftCapTable& caps, const RoutingSnapshot& snapshot,
     const FleetView& view, Index service, Index callerZone, bundle::Priority priority, TimePoint now);
 
-/// The live peer in the own zone that reports the most free slots, for a request that the own share has no slot for.
-/// Empty when no peer has any.
-std::optional<Index> chooseZonePeer(const RoutingSnapshot& snapshot, const FleetView& view);
+/// The live peer in the own zone that reports the most free slots for \a service, for a request that the own share has
+/// no slot for. Empty when no peer has any.
+std::optional<Index> chooseZonePeer(const RoutingSnapshot& snapshot, const FleetView& view, Index service);
 
 /// True if the \a remainingSlots that a drain leaves are enough for \a busySlots with a reserve of a tenth. A drain for
 /// which this is false is slowed and reported.
--- a/src/libs/steering/routing.cpp
+++ b/src/libs/steering/routing.cpp
@@ -295,13 +295,15 @@
     view.members.assign(snapshot.instances.size(), state);
     view.instanceHeadroom.assign(snapshot.instances.size(), 0);
     view.grants.resize(snapshot.services.size() * snapshot.zones.size());
+    if (snapshot.ownZone)
+        view.peerSlots.resize(snapshot.services.size() * snapshot.zones[*snapshot.ownZone].instances.size());
     return view;
 }
 
 unsigned validHeadroom(const RoutingSnapshot& snapshot, const FleetView& view, Index service, Index zone, TimePoint now)
 {
     const HeadroomGrant& grant = view.grants[service * snapshot.zones.size() + zone];
-    return now - grant.receivedAt < grantLifetime ? grant.slots : 0;
+    return now - grant.receivedAt < grantLifetime ? grant.requests : 0;
 }
 
 RankedInstances rankEntryInstances(const RoutingSnapshot& snapshot, Index service, Index callerZone,
--- a/src/libs/steering/routing.h
+++ b/src/libs/steering/routing.h
@@ -118,9 +118,9 @@
 
 enum class MemberState : std::uint8_t { Live, Suspect, Leaving, Dead };
 
-/// Free slots that a zone offers for a service, from its gossip.
+/// Requests that a zone accepts from this instance for a service, from its gossip.
 struct HeadroomGrant {
-    unsigned slots = 0;
+    unsigned requests = 0; ///< Until the next grant.
     TimePoint receivedAt {};
 };
 
@@ -132,6 +132,8 @@
     std::vector<MemberState> members; ///< By instance.
     std::vector<unsigned> instanceHeadroom; ///< Free slots of an instance, over all services, by instance.
     std::vector<HeadroomGrant> grants; ///< By service × zones + zone.
+    /// Free slots of the instances in the own zone, by service × instances of the zone + position in the zone.
+    std::vector<unsigned> peerSlots;
 };
 
 /// An empty view of the sizes of \a snapshot: all members \a state, no headroom.
--- a/src/libs/steering/servertable.cpp
+++ b/src/libs/steering/servertable.cpp
@@ -250,10 +250,11 @@
 
 void applyShares(ServerTable& table, const ShareHistory& history, TimePoint now)
 {
-    for (ServerState& server : table.servers)
-        server.share = now < table.usableFrom
-            ? 0
-            : static_cast<unsigned>(std::min<std::uint64_t>(history.usable(server.name), server.slots));
+    const bool isUsable = now >= table.usableFrom;
+    for (ServerState& server : table.servers) {
+        const std::uint64_t share = isUsable ? history.usable(server.name) : 0;
+        server.share = static_cast<unsigned>(std::min<std::uint64_t>(share, server.slots));
+    }
 }
 
 bool isWithinPledge(const ServerTable& table, const ShareHistory& history, TimePoint now)
@@ -417,4 +418,16 @@
     return result;
 }
 
+Duration meanLatency(const ServerTable& table, Index service)
+{
+    double sum = 0;
+    unsigned count = 0;
+    for (const ServerSlot at : table.pools[service].servers) {
+        sum += table.servers[at].latencyMs;
+        count += table.servers[at].latencyMs > 0 ? 1 : 0;
+    }
+    const std::chrono::duration<double, std::milli> mean(count > 0 ? sum / count : 0);
+    return std::chrono::duration_cast<Duration>(mean);
+}
+
 } // namespace clementinefall::steering
--- a/src/libs/steering/servertable.h
+++ b/src/libs/steering/servertable.h
@@ -126,9 +126,12 @@
 /// the request's deadline.
 void recordOutcome(ServerTable& table, Index service, ServerSlot server, const AttemptOutcome& outcome, TimePoint now);
 
-/// Free slots of this instance for \a service, which it may grant to other zones.
+/// Free slots of this instance for \a service. Part of them may be granted to other zones.
 unsigned freeSlots(const ServerTable& table, Index service, TimePoint now);
 
+/// Mean of the servers' latency averages for \a service; zero before the first attempt.
+Duration meanLatency(const ServerTable& table, Index service);
+
 /// Weight that selection gives to a server: its averages, probe state and report, 0 to 1.
 double serverQuality(const ServerState& server, TimePoint now);
 
--- a/src/libs/steering/tst_locality.cpp
+++ b/src/libs/steering/tst_locality.cpp
@@ -98,6 +98,19 @@
         CHECK(spendShift(caps, *snapshot, 0, 0, 2, start) == ResultCode::Answered);
     }
 
+    SECTION("a request goes to the peer of the own zone with the most free slots, and to none without any")
+    {
+        bundle::Bundle twoPeers = regions();
+        twoPeers.entryInstances.push_back({ "e-a2", "a", {}, {}, {} });
+        const auto peers = buildSnapshot(twoPeers, "e-a");
+        FleetView peerView = makeFleetView(*peers, MemberState::Live);
+        CHECK_FALSE(chooseZonePeer(*peers, peerView, 0));
+        peerView.peerSlots = { 5, 1 };
+        CHECK(chooseZonePeer(*peers, peerView, 0) == Index(4));
+        peerView.members[4] = MemberState::Suspect;
+        CHECK_FALSE(chooseZonePeer(*peers, peerView, 0));
+    }
+
     SECTION("headroom is divided without granting a slot twice")
     {
         rc::prop("for any demand", [](std::uint16_t freeSlots, const std::vector<std::uint16_t>& demand) {
--- a/src/libs/steering/tst_sharehistory.cpp
+++ b/src/libs/steering/tst_sharehistory.cpp
@@ -92,6 +92,24 @@
         CHECK(b.usable("cap") == 8);
     }
 
+    SECTION("a late answer of a process that has ended does not count for its successor")
+    {
+        meet();
+        const ShareQuery early = b.makeQuery();
+        a.adopt(second);
+        a.confirm();
+        const ShareStatus late = a.answer(early);
+        ShareHistory restarted("a", 3, now);
+        restarted.adopt(first);
+        talk(restarted, b);
+        talk(b, restarted);
+        REQUIRE(restarted.usable("cap") == 5);
+        b.adopt(second);
+        b.recordStatus(late, now);
+        b.settle(now);
+        CHECK(b.usable("cap") == 5);
+    }
+
     SECTION("a holder that restarts on an old version uses nothing after its former process confirmed a fall")
     {
         meet();
