Explore seeded schedules of failures over the request steps

Cause: the guarantees P3, P4 and P5 must hold under combined failures, which unit tests of single steps cannot show. A refusal by a backend server counts as not run only when it is whole and echoes the request (classifyAnswer). Results without an answer are shared between records. The times of a key range are parameters, so that schedules extend ranges.

--- /dev/null
+++ b/src/libs/requests/bench_at_most_once.cpp
@@ -0,0 +1,165 @@
+#include "requests/simulatedsystem.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+// Explores seeded schedules of failures over the step functions and prints which guarantees held, beside a proxy that
+// retries everything on a timeout.
+
+DEFINE_uint64(schedules, 10000, "Schedules to run; the failure kinds take turns");
+DEFINE_uint64(seed, 1, "Seed of the first schedule; schedule i uses seed + i");
+DEFINE_uint64(show, 5, "Violations to print in full");
+
+using namespace clementinefall;
+using namespace clementinefall::requests;
+using namespace clementinefall::requests::simulation;
+
+namespace {
+
+struct Totals {
+    std::uint64_t schedules = 0;
+    std::uint64_t operations = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t firstAttempts = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t serversCrashed = 0;
+    std::uint64_t crashingRequests = 0;
+    std::uint64_t mostCrashed = 0;
+    std::uint64_t heldBack = 0;
+    std::uint64_t violations = 0;
+    std::uint64_t brokenSchedules = 0;
+    std::map<ViolationKind, std::uint64_t> byKind;
+
+    void add(const ScheduleReport& report)
+    {
+        ++this->schedules;
+        this->operations += report.operations;
+        this->answered += report.answered;
+        this->notRun += report.notRun;
+        this->unknown += report.unknown;
+        this->firstAttempts += report.firstAttempts;
+        this->attempts += report.attempts;
+        this->serversCrashed += report.serversCrashed;
+        this->crashingRequests += report.crashingRequests;
+        this->mostCrashed = std::max(this->mostCrashed, report.mostCrashed);
+        this->heldBack += report.heldBack;
+        this->violations += report.violations.size();
+        this->brokenSchedules += report.violations.empty() ? 0 : 1;
+        for (const Violation& violation : report.violations)
+            ++this->byKind[violation.kind];
+    }
+};
+
+double ratio(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+using TotalsByKind = std::array<Totals, failureKindCount>;
+
+Totals sumOf(const TotalsByKind& byKind)
+{
+    Totals sum;
+    for (const Totals& each : byKind) {
+        sum.schedules += each.schedules;
+        sum.firstAttempts += each.firstAttempts;
+        sum.attempts += each.attempts;
+        sum.violations += each.violations;
+        sum.brokenSchedules += each.brokenSchedules;
+        for (const auto& [kind, count] : each.byKind)
+            sum.byKind[kind] += count;
+    }
+    return sum;
+}
+
+void printKinds(const TotalsByKind& byKind)
+{
+    fmt::print("failure-kind schedules operations answered not-run unknown violations amplification\n");
+    for (std::size_t i = 0; i < failureKindCount; ++i) {
+        const Totals& totals = byKind[i];
+        fmt::print("{:<20} {:>6} {:>8} {:>7.3f}% {:>7.3f}% {:>7.3f}% {:>5} {:>6.3f}\n",
+            failureKindName(static_cast<FailureKind>(i)), totals.schedules, totals.operations,
+            100.0 * ratio(totals.answered, totals.operations), 100.0 * ratio(totals.notRun, totals.operations),
+            100.0 * ratio(totals.unknown, totals.operations), totals.violations,
+            ratio(totals.attempts, totals.firstAttempts));
+    }
+}
+
+void printSummary(std::string_view name, const TotalsByKind& byKind)
+{
+    const Totals sum = sumOf(byKind);
+    const Totals& crashing = byKind[static_cast<std::size_t>(FailureKind::CrashingRequest)];
+    fmt::print("{}: schedules={} violations={} in={} amplification={:.3f}", name, sum.schedules, sum.violations,
+        sum.brokenSchedules, ratio(sum.attempts, sum.firstAttempts));
+    fmt::print(" servers-lost-per-crashing-request={:.2f} most={} held-back={}\n",
+        ratio(crashing.serversCrashed, crashing.crashingRequests), crashing.mostCrashed, crashing.heldBack);
+    for (const auto& [kind, count] : sum.byKind)
+        fmt::print("{}: {}={}\n", name, violationName(kind), count);
+}
+
+/// Heap in use per record of a full table, by the allocator's own count.
+void printMemory()
+{
+    constexpr std::size_t answerBytes = 200;
+    for (const bool hasAnswers : { false, true }) {
+        const ExecutionLimits limits;
+        const TimePoint now = TimePoint {} + std::chrono::hours(1);
+        const std::size_t before = mallinfo2().uordblks;
+        ExecutionTable table(limits);
+        table.issue(limits.records, now);
+        for (std::uint64_t sequence = 1; sequence <= limits.records; ++sequence) {
+            table.begin(sequence, { sequence, sequence }, now);
+            StoredResult result;
+            result.code = hasAnswers ? ResultCode::Answered : ResultCode::UnknownTimeout;
+            result.body = hasAnswers ? std::string(answerBytes, 'x') : "";
+            table.finish(sequence, std::move(result), now);
+        }
+        const std::size_t used = mallinfo2().uordblks - before;
+        fmt::print("memory: records={} answer-bytes={} heap-per-identity={} estimate-per-identity={}\n",
+            table.recordCount(), hasAnswers ? answerBytes : 0, used / table.recordCount(),
+            table.memoryBytes() / table.recordCount());
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("bench_at_most_once --schedules N --seed S");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+
+    TotalsByKind own;
+    TotalsByKind naive;
+    std::uint64_t shown = 0;
+    for (std::uint64_t i = 0; i < FLAGS_schedules; ++i) {
+        const std::size_t kind = i % failureKindCount;
+        ScheduleOptions options { FLAGS_seed + i, static_cast<FailureKind>(kind), false };
+        const ScheduleReport report = runSchedule(options);
+        own[kind].add(report);
+        for (const Violation& violation : report.violations) {
+            if (shown++ < FLAGS_show)
+                fmt::print("violation: seed={} kind={} {} {} {}\n", options.seed, failureKindName(options.kind),
+                    violationName(violation.kind), violation.identity, violation.text);
+        }
+        options.isNaive = true;
+        naive[kind].add(runSchedule(options));
+    }
+
+    printKinds(own);
+    printMemory();
+    printSummary("clementinefall", own);
+    printSummary("naive-retrying-proxy", naive);
+    // A baseline that breaks nothing would mean that the schedules are too easy to show anything.
+    const std::uint64_t violations = sumOf(own).violations;
+    const bool isPass = violations == 0 && sumOf(naive).violations > 0;
+    fmt::print("RESULT at-most-once {} {}\n", isPass ? "pass" : "fail", violations);
+    return isPass ? 0 : 1;
+}
--- a/src/libs/requests/executiontable.cpp
+++ b/src/libs/requests/executiontable.cpp
@@ -16,17 +16,6 @@
     return bytes;
 }
 
-/// Same result without headers and body, which still says how the request ended. Results other than answers have
-/// neither.
-StoredResult withoutAnswer(const StoredResult& result)
-{
-    StoredResult reduced;
-    reduced.code = result.code;
-    reduced.httpStatus = result.httpStatus;
-    reduced.bodyKept = outcomeOf(result.code) != Outcome::Answered;
-    return reduced;
-}
-
 } // namespace
 
 std::optional<IssuedRange> ExecutionTable::issue(std::uint64_t count, TimePoint now)
@@ -79,7 +68,7 @@
     const bool isAnswer = outcomeOf(result.code) == Outcome::Answered;
     const std::size_t bytes = sizeOfAnswer(result);
     const bool isKept = isAnswer && result.bodyKept && bytes <= this->limits.bodyBytes;
-    record.result = std::make_shared<const StoredResult>(isKept ? std::move(result) : withoutAnswer(result));
+    record.result = isKept ? std::make_shared<const StoredResult>(std::move(result)) : this->withoutAnswer(result);
     --this->running;
 
     FinishResult finished { record.result, {} };
@@ -135,8 +124,8 @@
     // A node of the map holds the entry and a link; a stored result is one allocation with its control block.
     constexpr std::size_t nodeBytes = sizeof(Records::value_type) + sizeof(void*);
     constexpr std::size_t resultBytes = sizeof(StoredResult) + 2 * sizeof(void*);
-    return this->records.size() * (nodeBytes + resultBytes) + this->records.bucket_count() * sizeof(void*) + this->kept
-        + this->notRunOrder.size() * sizeof(std::uint64_t)
+    return this->records.size() * nodeBytes + this->keptOrder.size() * resultBytes
+        + this->records.bucket_count() * sizeof(void*) + this->kept + this->notRunOrder.size() * sizeof(std::uint64_t)
         + this->keptOrder.size() * sizeof(std::pair<std::uint64_t, std::size_t>)
         + this->refusedBits.size() * sizeof(std::uint64_t);
 }
@@ -161,6 +150,19 @@
     this->refusedBits[offset / bitsPerWord] |= std::uint64_t { 1 } << (offset % bitsPerWord);
 }
 
+StoredResultPtr ExecutionTable::withoutAnswer(const StoredResult& result)
+{
+    StoredResultPtr& shared = this->resultsWithoutAnswer[{ result.code, result.httpStatus }];
+    if (!shared) {
+        StoredResult reduced;
+        reduced.code = result.code;
+        reduced.httpStatus = result.httpStatus;
+        reduced.bodyKept = outcomeOf(result.code) != Outcome::Answered;
+        shared = std::make_shared<const StoredResult>(std::move(reduced));
+    }
+    return shared;
+}
+
 bool ExecutionTable::freeOneRecord()
 {
     if (this->notRunOrder.empty())
@@ -203,7 +205,7 @@
     this->kept -= bytes;
     const auto found = this->records.find(sequence);
     if (found != this->records.end())
-        found->second.result = std::make_shared<const StoredResult>(withoutAnswer(*found->second.result));
+        found->second.result = this->withoutAnswer(*found->second.result);
 }
 
 } // namespace clementinefall::requests
--- a/src/libs/requests/executiontable.h
+++ b/src/libs/requests/executiontable.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -62,8 +63,8 @@
 
 struct ExecutionLimits {
     std::size_t records = 65536;
-    std::size_t keptBytes = 24U * 1024 * 1024; ///< All kept headers and bodies together.
-    std::size_t bodyBytes = 64U * 1024; ///< Headers and body of one result.
+    std::size_t keptBytes = std::size_t { 24 } * 1024 * 1024; ///< All kept headers and bodies together.
+    std::size_t bodyBytes = std::size_t { 64 } * 1024; ///< Headers and body of one result.
     std::size_t waitersPerRecord = 16;
 };
 
@@ -127,6 +128,7 @@
 
     bool isRefused(std::uint64_t sequence) const;
     void markRefused(std::uint64_t sequence);
+    StoredResultPtr withoutAnswer(const StoredResult& result);
     bool freeOneRecord();
     void discardRecordsBelow(std::uint64_t floor);
     void keepBytes(std::uint64_t sequence, std::size_t bytes);
@@ -141,6 +143,8 @@
     std::uint64_t discardedBelow = 1; ///< All finished records below it are discarded.
     std::deque<std::uint64_t> notRunOrder; ///< Sequences with a not-run record, oldest result first.
     std::deque<std::pair<std::uint64_t, std::size_t>> keptOrder; ///< Sequence and kept bytes, oldest result first.
+    /// One shared result for each code and status, since most records without an answer are alike.
+    std::map<std::pair<ResultCode, unsigned>, StoredResultPtr> resultsWithoutAnswer;
     std::deque<std::uint64_t> refusedBits; ///< One bit for each sequence from refusedBase on.
     std::uint64_t refusedBase = 0; ///< Multiple of 64.
 };
--- a/src/libs/requests/historychecker.h
+++ b/src/libs/requests/historychecker.h
@@ -25,6 +25,8 @@
     ViolationKind kind = ViolationKind::DoubleRun;
     std::string identity;
     std::string text;
+
+    friend bool operator==(const Violation&, const Violation&) = default;
 };
 
 /// Records what callers asked and were told, and what backend servers did, and checks the guarantees P3, P4 and P5.
--- a/src/libs/requests/identity.h
+++ b/src/libs/requests/identity.h
@@ -32,7 +32,7 @@
 constexpr minutes identityLifetime { 15 };
 
 /// Most identities that are issued and not expired. Bounds the memory that remembers refusals (one bit each).
-constexpr std::uint64_t maximumOpenIdentities = 4U * 1024 * 1024;
+constexpr std::uint64_t maximumOpenIdentities = std::uint64_t { 4 } * 1024 * 1024;
 
 /// Sequence numbers [first, first + count).
 struct IssuedRange {
--- a/src/libs/requests/keyrange.cpp
+++ b/src/libs/requests/keyrange.cpp
@@ -1,14 +1,9 @@
 #include "requests/keyrange.h"
 
-#include <chrono>
-
 namespace clementinefall::requests {
 
 namespace {
 
-constexpr std::int64_t aheadMs = std::chrono::duration_cast<milliseconds>(keyRangeAhead).count();
-constexpr std::int64_t leadMs = std::chrono::duration_cast<milliseconds>(keyRangeLead).count();
-
 bool isVisibleAscii(char c) { return c > ' ' && c < '\x7f'; }
 
 } // namespace
@@ -41,9 +36,9 @@
 {
     if (!this->known || this->replaced || this->closed)
         return std::nullopt;
-    const std::int64_t target = wallNow + aheadMs;
+    const std::int64_t target = wallNow + this->times.ahead.count();
     if (this->holds) {
-        if (this->own.ceiling - wallNow >= leadMs)
+        if (this->own.ceiling - wallNow >= this->times.lead.count())
             return std::nullopt;
         return KeyRangeWrite { this->known->version, { this->incarnation, this->own.floor, target } };
     }
--- a/src/libs/requests/keyrange.h
+++ b/src/libs/requests/keyrange.h
@@ -45,20 +45,24 @@
     KeyRange range;
 };
 
-/// How far the ceiling is reserved ahead of the wall clock. A replacement after a crash refuses new keys until the wall
-/// clock passes the old ceiling, so a longer reservation costs more then, and a shorter one costs more in an outage of
-/// the platform and for callers whose clocks run ahead.
-constexpr minutes keyRangeAhead { 2 };
-
-/// Remaining reservation at which the ceiling is extended: one write a minute for each home that receives keys, which
-/// is 12.5 writes/s for 750 instances.
-constexpr minutes keyRangeLead { 1 };
+/// When a home extends its range.
+struct KeyRangeTimes {
+    /// How far the ceiling is reserved ahead of the wall clock. A replacement after a crash refuses new keys until the
+    /// wall clock passes the old ceiling, so a longer reservation costs more then, and a shorter one costs more in an
+    /// outage of the platform and for callers whose clocks run ahead.
+    milliseconds ahead = minutes(2);
+
+    /// Remaining reservation at which the ceiling is extended: one write a minute for each home that receives keys,
+    /// which is 12.5 writes/s for 750 instances.
+    milliseconds lead = minutes(1);
+};
 
 /// What a home may run, from its confirmed writes only.
 class KeyRangeHolder {
 public:
-    explicit KeyRangeHolder(std::uint64_t ownIncarnation)
+    explicit KeyRangeHolder(std::uint64_t ownIncarnation, KeyRangeTimes rangeTimes = {})
         : incarnation(ownIncarnation)
+        , times(rangeTimes)
     {
     }
 
@@ -100,6 +104,7 @@
     void adopt(const KeyRange& range);
 
     std::uint64_t incarnation;
+    KeyRangeTimes times;
     KeyRange own; ///< Empty (floor = ceiling) until a write is confirmed.
     std::optional<StoredKeyRange> known;
     bool holds = false; ///< A range was adopted.
--- a/src/libs/requests/quarantine.cpp
+++ b/src/libs/requests/quarantine.cpp
@@ -185,14 +185,32 @@
     return newest;
 }
 
-std::vector<CrashMark> marksOfCrash(const std::string& server, const std::vector<InFlightRequest>& inFlight,
-    std::uint64_t reporter, std::uint64_t& nextNumber, TimePoint now)
+std::uint64_t InFlightTracker::noteSent(const std::string& server, InFlightRequest request)
+{
+    this->servers[server].emplace(++this->lastTicket, std::move(request));
+    return this->lastTicket;
+}
+
+void InFlightTracker::noteEnded(const std::string& server, std::uint64_t ticket)
+{
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end())
+        return;
+    found->second.erase(ticket);
+    if (found->second.empty())
+        this->servers.erase(found);
+}
+
+std::vector<CrashMark> InFlightTracker::noteCrash(const std::string& server, TimePoint now)
 {
     std::vector<CrashMark> marks;
-    marks.reserve(inFlight.size());
-    const auto count = static_cast<std::uint32_t>(inFlight.size());
-    for (const InFlightRequest& request : inFlight)
-        marks.push_back({ request.fingerprint, request.service, server, reporter, nextNumber++, count, now });
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end())
+        return marks;
+    const auto count = static_cast<std::uint32_t>(found->second.size());
+    for (const auto& [ticket, request] : found->second)
+        marks.push_back({ request.fingerprint, request.service, server, this->reporter, this->nextMark++, count, now });
+    this->servers.erase(found);
     return marks;
 }
 
--- a/src/libs/requests/quarantine.h
+++ b/src/libs/requests/quarantine.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace clementinefall::requests {
@@ -18,7 +19,11 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    friend auto operator<=>(const Fingerprint&, const Fingerprint&) = default;
+    friend bool operator==(const Fingerprint&, const Fingerprint&) = default;
+    friend bool operator<(const Fingerprint& left, const Fingerprint& right)
+    {
+        return std::tie(left.high, left.low) < std::tie(right.high, right.low);
+    }
 };
 
 Fingerprint fingerprintOf(
@@ -112,12 +117,34 @@
     States states;
 };
 
-/// Marks for the requests in flight on a server that crashed. \a nextNumber is raised by the number of marks.
 struct InFlightRequest {
     Fingerprint fingerprint;
     std::string service;
 };
-std::vector<CrashMark> marksOfCrash(const std::string& server, const std::vector<InFlightRequest>& inFlight,
-    std::uint64_t reporter, std::uint64_t& nextNumber, TimePoint now);
+
+/// Requests in flight from this instance to each backend server, from which the marks of a crash are made. Not
+/// thread-safe.
+class InFlightTracker {
+public:
+    /// \a reporterIncarnation is the incarnation of this entry instance.
+    explicit InFlightTracker(std::uint64_t reporterIncarnation)
+        : reporter(reporterIncarnation)
+    {
+    }
+
+    /// Notes a request before it is written to \a server; the returned ticket is for noteEnded().
+    std::uint64_t noteSent(const std::string& server, InFlightRequest request);
+    void noteEnded(const std::string& server, std::uint64_t ticket);
+
+    /// Marks of a crash: the server reset a connection with a request on it, or refused a connection while requests
+    /// were in flight. The requests are forgotten, so that the other resets of the same crash add no marks.
+    std::vector<CrashMark> noteCrash(const std::string& server, TimePoint now);
+
+private:
+    std::uint64_t reporter;
+    std::uint64_t lastTicket = 0;
+    std::uint64_t nextMark = 0;
+    std::map<std::string, std::map<std::uint64_t, InFlightRequest>> servers;
+};
 
 } // namespace clementinefall::requests
--- a/src/libs/requests/requeststeps.cpp
+++ b/src/libs/requests/requeststeps.cpp
@@ -68,16 +68,12 @@
     return ReplyNow { ResultCode::UnknownNotDecided, {} };
 }
 
-StoredResult resultOfAttempts(std::span<const AttemptEnd> ends, ResultCode withoutAttempt, StoredResult answer)
+StoredResult resultWithCode(ResultCode code, StoredResult answer)
 {
-    const ResultCode code = codeOfAttempts(ends, withoutAttempt);
-    if (code == ResultCode::Answered) {
-        answer.code = code;
-        return answer;
-    }
-    StoredResult result;
-    result.code = code;
-    return result;
+    if (code != ResultCode::Answered)
+        answer = {};
+    answer.code = code;
+    return answer;
 }
 
 FinishResult homeFinish(ExecutionTable& table, std::uint64_t sequence, StoredResult result, TimePoint now)
@@ -102,7 +98,9 @@
     const bool isMissing = answer.echoedIdentity.empty();
     if (isMissing ? answer.isEchoRequired : answer.echoedIdentity != answer.expectedIdentity)
         return AttemptEnd::AnswerInvalid;
-    return answer.isComplete ? AttemptEnd::Answered : AttemptEnd::AnswerCut;
+    if (!answer.isComplete)
+        return AttemptEnd::AnswerCut;
+    return answer.isShed ? AttemptEnd::ShedByServer : AttemptEnd::Answered;
 }
 
 AttemptEnd classifyExecutorCode(ResultCode executorCode)
--- a/src/libs/requests/requeststeps.h
+++ b/src/libs/requests/requeststeps.h
@@ -77,9 +77,9 @@
 HomeStep homeBegin(ExecutionTable& table, std::uint64_t sequence, const Hash128& requestHash,
     std::optional<ResultCode> refusal, TimePoint now, Waiter waiter = {});
 
-/// Result of a request whose attempts have all ended. \a answer holds status, headers and body of an answered one.
-/// \a withoutAttempt is the code when no attempt was made.
-StoredResult resultOfAttempts(std::span<const AttemptEnd> ends, ResultCode withoutAttempt, StoredResult answer);
+/// Result to store for a request that ended with \a code, which decideRetry() gave. \a answer holds status, headers
+/// and body and is used with Answered only.
+StoredResult resultWithCode(ResultCode code, StoredResult answer);
 
 /// Last step at the home, under the table's mutex. The returned result is what every copy is told; the waiters are
 /// called after the mutex is released. The first copy passes on the answer that it received itself, since an answer
@@ -96,9 +96,11 @@
     bool isEchoRequired = false; ///< Entry instances always echo; backend servers may not.
     bool isWellFormed = true;
     bool isComplete = true; ///< Declared length or last chunk was reached.
+    bool isShed = false; ///< The backend server says that it refused before starting the request.
 };
 
-/// Answered, AnswerCut or AnswerInvalid.
+/// Answered, ShedByServer, AnswerCut or AnswerInvalid. A refusal counts only when it is whole and belongs to the
+/// request; a refusal of another request would otherwise become a false not run.
 AttemptEnd classifyAnswer(const ReceivedAnswer& answer);
 
 /// How the home sees a whole answer of an executor that carries \a executorCode. RefusedByPeer only for a not-run code.
--- a/src/libs/requests/retrybudget.cpp
+++ b/src/libs/requests/retrybudget.cpp
@@ -115,7 +115,7 @@
 
 RetryDecision decideRetry(const RetryState& state, RetryBudget& budget, TimePoint now)
 {
-    const auto stop = [&state](ResultCode code) { return RetryDecision { RetryVerdict::Stop, code }; };
+    const auto stop = [](ResultCode code) { return RetryDecision { RetryVerdict::Stop, code }; };
     const ResultCode code = codeOfAttempts(state.ended, ResultCode::NotRunNoServer);
     if (state.answerStarted)
         return stop(ResultCode::UnknownAnswerCut);
--- /dev/null
+++ b/src/libs/requests/simulatedentry.cpp
@@ -0,0 +1,501 @@
+#include "requests/simulatedentry.h"
+
+#include <algorithm>
+
+namespace clementinefall::requests::simulation {
+
+namespace {
+
+constexpr milliseconds longestDeadline { 2000 };
+constexpr milliseconds oneWayDelay { 4 };
+constexpr milliseconds naiveTimeout { 600 };
+constexpr std::size_t naiveAttempts = 3;
+constexpr double overloadChance = 0.02;
+constexpr double remoteChance = 0.25;
+constexpr std::uint64_t longestSkewMs = 1000;
+
+/// Short, so that ceilings are extended several times in one schedule.
+constexpr KeyRangeTimes keyRangeTimes { seconds(6), seconds(4) };
+
+ExecutionLimits limitsFor(const World& world)
+{
+    ExecutionLimits limits;
+    if (world.hasSmallTables) {
+        limits.records = 12;
+        limits.keptBytes = 200;
+        limits.bodyBytes = 40;
+        limits.waitersPerRecord = 1;
+    }
+    return limits;
+}
+
+IdentityIssuer issuerFor(const World& world)
+{
+    if (world.hasSmallTables)
+        return IdentityIssuer(seconds(3), 64);
+    return IdentityIssuer();
+}
+
+AttemptEnd attemptEndOf(ExchangeEnd end)
+{
+    switch (end) {
+    case ExchangeEnd::Replied:
+        return AttemptEnd::Answered;
+    case ExchangeEnd::ConnectRefused:
+        return AttemptEnd::ConnectRefused;
+    case ExchangeEnd::NothingWritten:
+        return AttemptEnd::NothingWritten;
+    case ExchangeEnd::WrittenAndLost:
+        return AttemptEnd::WrittenAndLost;
+    case ExchangeEnd::TimedOut:
+        return AttemptEnd::TimedOut;
+    case ExchangeEnd::AnswerCut:
+        return AttemptEnd::AnswerCut;
+    }
+    return AttemptEnd::TimedOut;
+}
+
+ForwardEnd forwardEndOf(ExchangeEnd end, AttemptEnd answer)
+{
+    switch (end) {
+    case ExchangeEnd::Replied:
+        return answer == AttemptEnd::Answered ? ForwardEnd::HomeAnswered : ForwardEnd::AnswerInvalid;
+    case ExchangeEnd::ConnectRefused:
+        return ForwardEnd::ConnectRefused;
+    case ExchangeEnd::NothingWritten:
+        return ForwardEnd::NothingWritten;
+    case ExchangeEnd::WrittenAndLost:
+        return ForwardEnd::WrittenAndLost;
+    case ExchangeEnd::TimedOut:
+        return ForwardEnd::TimedOut;
+    case ExchangeEnd::AnswerCut:
+        return ForwardEnd::AnswerCut;
+    }
+    return ForwardEnd::TimedOut;
+}
+
+} // namespace
+
+SimulatedEntry::SimulatedEntry(
+    World& entryWorld, std::size_t entryIndex, std::vector<std::shared_ptr<SimulatedEntry>>& allEntries)
+    : world(entryWorld)
+    , index(entryIndex)
+    , node(entryWorld.entryNodes[entryIndex])
+    , entries(allEntries)
+    , incarnation(entryWorld.random())
+    , clockSkewMs(
+          static_cast<std::int64_t>(entryWorld.below(2 * longestSkewMs)) - static_cast<std::int64_t>(longestSkewMs))
+    , table(limitsFor(entryWorld), issuerFor(entryWorld))
+    , keyRange(this->incarnation, keyRangeTimes)
+    , keys(entryWorld.hasSmallTables ? 6 : 16384)
+    , inFlight(this->incarnation)
+{
+}
+
+void SimulatedEntry::handle(const Message& message, const ReplyFunction& reply)
+{
+    if (message.tag.empty()) {
+        this->issue(reply);
+        return;
+    }
+    const SessionPtr session = this->newSession(message, reply);
+    if (this->world.options.isNaive) {
+        this->handleNaive(session);
+    } else if (message.isExecute) {
+        this->handleExecute(session);
+    } else if (!message.identity.empty()) {
+        this->handleIdentity(message, reply);
+    } else if (!message.key.empty()) {
+        const std::string home(homeOfKey(message.key, this->world.entryNames));
+        if (home == this->world.entryNames[this->index])
+            this->beginAtHome(session);
+        else
+            this->forward(message, home, reply);
+    } else {
+        this->handleDirect(session);
+    }
+}
+
+SimulatedEntry::SessionPtr SimulatedEntry::newSession(const Message& message, const ReplyFunction& reply) const
+{
+    auto session = std::make_shared<Session>();
+    session->message = message;
+    StreamHash hash;
+    hash.update(message.content);
+    session->requestHash = hash.digest();
+    session->fingerprint = fingerprintOf("service", "POST", "/", session->requestHash);
+    session->deadline = deadlineOf(this->now(), message.left, longestDeadline);
+    session->reply = reply;
+    return session;
+}
+
+std::optional<ResultCode> SimulatedEntry::refusalOf(const Session& session)
+{
+    if (this->isStopping)
+        return ResultCode::NotRunStopping;
+    if (this->quarantine.isQuarantined(session.fingerprint, this->now())) {
+        ++this->world.report.heldBack;
+        return ResultCode::NotRunHeldBack;
+    }
+    if (session.deadline <= this->now())
+        return ResultCode::NotRunDeadline;
+    if (this->world.chance(overloadChance))
+        return ResultCode::NotRunNoCapacity;
+    return std::nullopt;
+}
+
+void SimulatedEntry::issue(const ReplyFunction& reply)
+{
+    const auto issued = this->table.issue(1, this->now());
+    if (!issued || this->isStopping) {
+        reply({ ResultCode::NotRunRecordTableFull, "", "" });
+        return;
+    }
+    const Identity identity { this->world.entryNames[this->index], this->incarnation, issued->first };
+    reply({ ResultCode::Answered, "", formatIdentity(identity) });
+}
+
+void SimulatedEntry::handleIdentity(const Message& message, const ReplyFunction& reply)
+{
+    const auto parsed = parseIdentity(message.identity);
+    if (!isOk(parsed)) {
+        reply({ errorOf(parsed).code, message.tag, "" });
+        return;
+    }
+    const Identity& identity = valueOf(parsed);
+    switch (routeIdentity(identity, this->world.entryNames[this->index], this->incarnation, message.isForwarded)) {
+    case IdentityRoute::Home: {
+        const SessionPtr session = this->newSession(message, reply);
+        session->sequence = identity.sequence;
+        this->beginAtHome(session);
+        return;
+    }
+    case IdentityRoute::Forward:
+        this->forward(message, identity.instance, reply);
+        return;
+    case IdentityRoute::HomeReplaced:
+        reply({ codeOfForward(ForwardEnd::HomeReplaced, ResultCode::UnknownNotDecided), message.tag, "" });
+        return;
+    case IdentityRoute::NotHomeAgain:
+        reply({ codeOfRefusal(RequestRole::Forwarder, ResultCode::NotRunInvalidIdentity), message.tag, "" });
+        return;
+    }
+}
+
+void SimulatedEntry::forward(const Message& message, const std::string& home, const ReplyFunction& reply)
+{
+    const auto found = std::find(this->world.entryNames.begin(), this->world.entryNames.end(), home);
+    const auto homeIndex = static_cast<std::size_t>(found - this->world.entryNames.begin());
+    const std::size_t homeNode = this->world.entryAddress(homeIndex);
+    const TimePoint deadline = deadlineOf(this->now(), message.left, longestDeadline);
+    const auto left = deadlineForNextHop(deadline, this->now(), oneWayDelay);
+    if (message.isForwarded || this->isStopping || !left) {
+        reply({ codeOfRefusal(RequestRole::Forwarder, ResultCode::NotRunStopping), message.tag, "" });
+        return;
+    }
+    Message forwarded = message;
+    forwarded.isForwarded = true;
+    forwarded.left = *left;
+    const std::string tag = message.tag;
+    this->world.network.exchange(this->node, homeNode, forwarded, deadline - this->now(), true,
+        [tag, reply](ExchangeEnd end, const Reply& answer) {
+            const AttemptEnd checked = classifyAnswer({ tag, answer.tag, true });
+            const ForwardEnd forwardEnd = forwardEndOf(end, checked);
+            const ResultCode code = codeOfForward(forwardEnd, answer.code);
+            reply({ code, tag, forwardEnd == ForwardEnd::HomeAnswered ? answer.body : "" });
+        });
+}
+
+void SimulatedEntry::beginAtHome(const SessionPtr& session)
+{
+    // The time is read before the mutex is taken; the process may be paused in between.
+    const TimePoint seen = this->now();
+    this->later([this, session, seen] {
+        const Message& message = session->message;
+        if (!message.key.empty()) {
+            const KeyLookup lookup = this->keys.find(message.key, message.label, this->keyRange, this->table, seen);
+            const auto* found = std::get_if<KeySequence>(&lookup);
+            if (!found) {
+                session->reply({ codeOfKeyLookup(lookup), message.tag, "" });
+                return;
+            }
+            session->sequence = found->sequence;
+        }
+        const HomeStep step = homeBegin(this->table, session->sequence, session->requestHash, this->refusalOf(*session),
+            seen, [session](const StoredResultPtr& result) {
+                session->reply({ codeForCopy(*result), session->message.tag, result->body });
+            });
+        if (const auto* now = std::get_if<ReplyNow>(&step)) {
+            session->reply({ now->code, message.tag, now->result ? now->result->body : "" });
+        } else if (std::holds_alternative<RunRequest>(step)) {
+            this->budget.noteFirstAttempt(this->now());
+            this->later([this, session] { this->dispatch(session); });
+        }
+    });
+}
+
+void SimulatedEntry::handleDirect(const SessionPtr& session)
+{
+    if (const auto refusal = this->refusalOf(*session)) {
+        session->reply({ codeOfRefusal(RequestRole::Direct, *refusal), session->message.tag, "" });
+        return;
+    }
+    this->budget.noteFirstAttempt(this->now());
+    this->dispatch(session);
+    this->scheduleHedge(session);
+}
+
+void SimulatedEntry::handleExecute(const SessionPtr& session)
+{
+    const auto refusal = this->refusalOf(*session);
+    const auto target = this->chooseTarget(*session, false);
+    if (refusal || !target) {
+        const ResultCode reason = refusal.value_or(ResultCode::NotRunNoServer);
+        session->reply({ codeOfRefusal(RequestRole::Executor, reason), session->message.tag, "" });
+        return;
+    }
+    this->attempt(session, *target, [session](AttemptEnd end, const Reply& reply) {
+        session->reply({ codeOfAttempt(end), session->message.tag, end == AttemptEnd::Answered ? reply.body : "" });
+    });
+}
+
+void SimulatedEntry::handleNaive(const SessionPtr& session)
+{
+    if (session->made == naiveAttempts) {
+        session->reply({ ResultCode::NotRunNoServer, session->message.tag, "" });
+        return;
+    }
+    if (session->made++ == 0)
+        ++this->world.report.firstAttempts;
+    ++this->world.report.attempts;
+    const std::size_t server = this->world.serverNodes[this->world.below(this->world.serverNodes.size())];
+    this->world.network.exchange(this->node, server, session->message, naiveTimeout, false,
+        [this, session](ExchangeEnd end, const Reply& reply) {
+            if (end == ExchangeEnd::Replied && reply.code == ResultCode::Answered)
+                session->reply({ ResultCode::Answered, session->message.tag, reply.body });
+            else
+                this->handleNaive(session);
+        });
+}
+
+std::optional<SimulatedEntry::Target> SimulatedEntry::chooseTarget(const Session& session, bool mayLeaveZone)
+{
+    std::vector<Target> local;
+    std::vector<Target> remote;
+    for (std::size_t i = 0; i < this->world.serverNodes.size(); ++i) {
+        if (i % 2 == this->index % 2 && !session.triedNodes.contains(this->world.serverNodes[i]))
+            local.push_back({ this->world.serverNodes[i], false });
+    }
+    for (std::size_t i = 0; i < this->world.entryNodes.size() && mayLeaveZone; ++i) {
+        if (i % 2 != this->index % 2 && !session.triedNodes.contains(this->world.entryNodes[i]))
+            remote.push_back({ this->world.entryNodes[i], true });
+    }
+    const bool isRemote = !remote.empty() && (local.empty() || this->world.chance(remoteChance));
+    const std::vector<Target>& candidates = isRemote ? remote : local;
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[this->world.below(candidates.size())];
+}
+
+void SimulatedEntry::dispatch(const SessionPtr& session)
+{
+    const auto target = this->chooseTarget(*session, true);
+    const bool isLate = session->deadline <= this->now();
+    if (session->made == 0 && (isLate || !target)) {
+        this->complete(session, isLate ? ResultCode::NotRunDeadline : ResultCode::NotRunNoServer, {});
+        return;
+    }
+    if (session->made++ == 0)
+        ++this->world.report.firstAttempts;
+    ++this->world.report.attempts;
+    ++session->running;
+    this->attempt(session, *target,
+        [this, session](AttemptEnd end, const Reply& reply) { this->afterAttempt(session, end, reply); });
+}
+
+void SimulatedEntry::scheduleHedge(const SessionPtr& session)
+{
+    const auto delay = hedgeDelay(this->latencies.quantile(0.95, this->now()));
+    if (!delay)
+        return;
+    this->world.network.runIn(this->node, *delay, [this, session, delay] {
+        HedgeState state;
+        state.isIdempotent = session->message.isIdempotent;
+        state.attemptsMade = session->made;
+        state.hasOtherServer = this->chooseTarget(*session, true).has_value();
+        state.waited = *delay;
+        state.delay = *delay;
+        state.left = session->deadline - this->now();
+        if (!session->isDone && decideHedge(state, this->budget, this->now()))
+            this->dispatch(session);
+    });
+}
+
+void SimulatedEntry::attempt(
+    const SessionPtr& session, const Target& target, std::function<void(AttemptEnd, const Reply&)> onEnd)
+{
+    session->triedNodes.insert(target.node);
+    Message message = session->message;
+    message.isExecute = target.isExecutor;
+    const Duration left = session->deadline - this->now();
+    message.left = deadlineForNextHop(session->deadline, this->now(), oneWayDelay).value_or(milliseconds(0));
+    const std::string server = target.isExecutor ? "" : fmt::format("s{}", target.node);
+    const std::uint64_t ticket
+        = target.isExecutor ? 0 : this->inFlight.noteSent(server, { session->fingerprint, "service" });
+    const TimePoint sent = this->now();
+    this->world.network.exchange(this->node, target.node, message, left, false,
+        [this, session, target, server, ticket, sent, onEnd = std::move(onEnd)](ExchangeEnd end, const Reply& reply) {
+            AttemptEnd attemptEnd = attemptEndOf(end);
+            if (end == ExchangeEnd::Replied) {
+                const bool isShed = reply.code == ResultCode::NotRunShedByServer && !target.isExecutor;
+                attemptEnd = classifyAnswer({ session->message.tag, reply.tag, true, true, true, isShed });
+                if (target.isExecutor && attemptEnd == AttemptEnd::Answered)
+                    attemptEnd = classifyExecutorCode(reply.code);
+            }
+            if (attemptEnd == AttemptEnd::Answered)
+                this->latencies.add(this->now() - sent, this->now());
+            if (!target.isExecutor)
+                this->noteAttemptEnd(*session, server, ticket, attemptEnd);
+            onEnd(attemptEnd, reply);
+        });
+}
+
+void SimulatedEntry::noteAttemptEnd(
+    const Session& session, const std::string& server, std::uint64_t ticket, AttemptEnd end)
+{
+    const bool wasRefused = end == AttemptEnd::ConnectRefused || end == AttemptEnd::NothingWritten;
+    if (wasRefused)
+        this->inFlight.noteEnded(server, ticket);
+    if (end == AttemptEnd::WrittenAndLost || end == AttemptEnd::ConnectRefused) {
+        const std::vector<CrashMark> marks = this->inFlight.noteCrash(server, this->now());
+        for (const CrashMark& mark : marks)
+            this->quarantine.merge(mark, this->now());
+        this->tellPeers(marks, std::nullopt);
+    }
+    this->inFlight.noteEnded(server, ticket);
+    if (end == AttemptEnd::Answered)
+        this->tellPeers({}, this->quarantine.noteSuccess(session.fingerprint, this->now()));
+}
+
+void SimulatedEntry::afterAttempt(const SessionPtr& session, AttemptEnd end, const Reply& reply)
+{
+    --session->running;
+    session->ended.push_back(end);
+    if (session->isDone)
+        return;
+    RetryState state;
+    state.isIdempotent = session->message.isIdempotent;
+    state.ended = session->ended;
+    state.running = session->running;
+    state.hasOtherServer = this->chooseTarget(*session, true).has_value();
+    state.left = session->deadline - this->now();
+    state.expected = this->latencies.quantile(0.5, this->now()).value_or(milliseconds(20));
+    const RetryDecision decision = decideRetry(state, this->budget, this->now());
+    if (decision.verdict == RetryVerdict::Retry)
+        this->dispatch(session);
+    else if (decision.verdict == RetryVerdict::Stop)
+        this->complete(session, decision.code, reply);
+}
+
+void SimulatedEntry::complete(const SessionPtr& session, ResultCode code, const Reply& reply)
+{
+    session->isDone = true;
+    StoredResult answer;
+    answer.httpStatus = 200;
+    answer.body = reply.body;
+    if (session->sequence == 0) {
+        session->reply({ code, session->message.tag, code == ResultCode::Answered ? reply.body : "" });
+        return;
+    }
+    const TimePoint seen = this->now();
+    this->later([this, session, seen, body = reply.body, result = resultWithCode(code, std::move(answer))] {
+        const FinishResult finished = homeFinish(this->table, session->sequence, result, seen);
+        const bool isAnswered = finished.result->code == ResultCode::Answered;
+        session->reply({ finished.result->code, session->message.tag, isAnswered ? body : "" });
+        for (const Waiter& waiter : finished.waiters)
+            waiter(finished.result);
+    });
+}
+
+void SimulatedEntry::tellPeers(const std::vector<CrashMark>& marks, const std::optional<MarkClearing>& clearing)
+{
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        if (i == this->index || (marks.empty() && !clearing))
+            continue;
+        this->world.network.post(this->node, this->world.entryNodes[i], [this, i, marks, clearing] {
+            SimulatedEntry& peer = *this->entries[i];
+            for (const CrashMark& mark : marks)
+                peer.quarantine.merge(mark, peer.now());
+            if (clearing)
+                peer.quarantine.merge(*clearing, peer.now());
+        });
+    }
+}
+
+void SimulatedEntry::tick()
+{
+    this->table.expire(this->now());
+    this->keys.discardBelow(this->table.floor(), this->keyRange);
+    this->quarantine.expire(this->now());
+    if (!this->isWritingRange)
+        this->renewKeyRange();
+}
+
+void SimulatedEntry::stop()
+{
+    this->isStopping = true;
+    if (const auto closing = this->keyRange.close())
+        this->writeKeyRange(*closing);
+}
+
+void SimulatedEntry::renewKeyRange()
+{
+    SimulatedPlatform& platform = this->world.platform;
+    if (platform.isDown)
+        return;
+    if (this->keyRange.needsRead())
+        this->keyRange.read(platform.read(this->world.entryNames[this->index]));
+    else if (const auto wanted = this->keyRange.wantedWrite(this->wallNow()))
+        this->writeKeyRange(*wanted);
+}
+
+void SimulatedEntry::writeKeyRange(const KeyRangeWrite& wanted)
+{
+    SimulatedPlatform& platform = this->world.platform;
+    this->isWritingRange = true;
+    const bool isLost = this->world.chance(platform.lostResponse);
+    // A write whose response is lost may take effect late, when this process or its successor has moved on.
+    const Duration delay = this->world.millisecondsBetween(1, isLost ? 3000 : 10);
+    const std::string name = this->world.entryNames[this->index];
+    const unsigned life = this->world.network.lifeOf(this->node);
+    this->world.scheduler.after(delay, [this, wanted, isLost, name, life] {
+        const std::uint64_t version = this->world.platform.write(name, wanted);
+        if (isLost || this->world.network.lifeOf(this->node) != life)
+            return;
+        this->later([this, wanted, version] {
+            this->isWritingRange = false;
+            if (version == 0)
+                this->keyRange.fail();
+            else
+                this->keyRange.confirm(wanted, version);
+        });
+    });
+    if (isLost) {
+        this->later([this] {
+            this->isWritingRange = false;
+            this->keyRange.fail();
+        });
+    }
+}
+
+void SimulatedEntry::later(Action action)
+{
+    this->world.network.runIn(this->node, microseconds(this->world.below(400)), std::move(action));
+}
+
+std::int64_t SimulatedEntry::wallNow() const
+{
+    return std::chrono::duration_cast<milliseconds>(this->now().time_since_epoch()).count() + this->clockSkewMs;
+}
+
+} // namespace clementinefall::requests::simulation
--- a/src/libs/requests/tst_quarantine.cpp
+++ b/src/libs/requests/tst_quarantine.cpp
@@ -16,12 +16,12 @@
 const Fingerprint culprit = fingerprintOf("tillgate", "POST", "/vend", { 1, 1 });
 const Fingerprint bystander = fingerprintOf("tillgate", "POST", "/vend", { 2, 2 });
 
-std::vector<CrashMark> crash(const std::string& server, std::vector<Fingerprint> inFlight, std::uint64_t& number)
+std::vector<CrashMark> crash(
+    InFlightTracker& tracker, const std::string& server, const std::vector<Fingerprint>& inFlight)
 {
-    std::vector<InFlightRequest> requests;
     for (const Fingerprint& fingerprint : inFlight)
-        requests.push_back({ fingerprint, "tillgate" });
-    return marksOfCrash(server, requests, 7, number, start);
+        tracker.noteSent(server, { fingerprint, "tillgate" });
+    return tracker.noteCrash(server, start);
 }
 
 std::string textOf(const std::vector<QuarantineEntry>& entries)
@@ -38,7 +38,7 @@
 TEST_CASE("Quarantine of crashing requests")
 {
     Quarantine quarantine;
-    std::uint64_t number = 0;
+    InFlightTracker tracker(7);
     const auto apply = [&quarantine](const std::vector<CrashMark>& marks) {
         for (const CrashMark& mark : marks)
             quarantine.merge(mark, start);
@@ -46,10 +46,10 @@
 
     SECTION("two lone crashes on two servers quarantine; two on one server do not")
     {
-        apply(crash("s1", { culprit }, number));
-        apply(crash("s1", { culprit }, number));
+        apply(crash(tracker, "s1", { culprit }));
+        apply(crash(tracker, "s1", { culprit }));
         CHECK_FALSE(quarantine.isQuarantined(culprit, start));
-        apply(crash("s2", { culprit }, number));
+        apply(crash(tracker, "s2", { culprit }));
         CHECK(quarantine.isQuarantined(culprit, start));
         CHECK_FALSE(quarantine.isQuarantined(culprit, start + minutes(10)));
     }
@@ -57,20 +57,20 @@
     SECTION("a bystander of two crowded crashes stays free, the culprit is caught at the third")
     {
         const Fingerprint other = fingerprintOf("tillgate", "POST", "/vend", { 3, 3 });
-        apply(crash("s1", { culprit, bystander, other }, number));
-        apply(crash("s2", { culprit, bystander, other }, number));
+        apply(crash(tracker, "s1", { culprit, bystander, other }));
+        apply(crash(tracker, "s2", { culprit, bystander, other }));
         CHECK_FALSE(quarantine.isQuarantined(culprit, start));
         quarantine.noteSuccess(bystander, start + seconds(1));
-        apply(crash("s3", { culprit, bystander, other }, number));
+        apply(crash(tracker, "s3", { culprit, bystander, other }));
         CHECK(quarantine.isQuarantined(culprit, start));
         CHECK_FALSE(quarantine.isQuarantined(bystander, start + seconds(1)));
     }
 
     SECTION("an operator lists and releases with a reason; a late copy of an old mark does not bring it back")
     {
-        const auto marks = crash("s1", { culprit }, number);
+        const auto marks = crash(tracker, "s1", { culprit });
         apply(marks);
-        apply(crash("s2", { culprit }, number));
+        apply(crash(tracker, "s2", { culprit }));
         REQUIRE(quarantine.list(start).size() == 1);
         CHECK(quarantine.list(start).front().servers == std::vector<std::string> { "s1", "s2" });
         CHECK_FALSE(isOk(quarantine.release(culprit, "", start)));
@@ -80,6 +80,14 @@
         CHECK(quarantine.list(start).empty());
     }
 
+    SECTION("the other resets of one crash and ended requests add no marks")
+    {
+        const std::uint64_t ended = tracker.noteSent("s1", { bystander, "tillgate" });
+        tracker.noteEnded("s1", ended);
+        CHECK(crash(tracker, "s1", { culprit }).size() == 1);
+        CHECK(tracker.noteCrash("s1", start).empty());
+    }
+
     SECTION("memory is bounded and freed after the lifetime")
     {
         Quarantine small({ minutes(10), 8, 4 });
@@ -101,12 +109,13 @@
     for (std::uint64_t i = 0; i < 40; ++i) {
         const Fingerprint fingerprint { randomBelow(random, 3), 0 };
         const TimePoint at = start - seconds(randomBelow(random, 300));
-        if (i % 8 == 7)
+        if (i % 8 == 7) {
             messages.emplace_back(
                 MarkClearing { fingerprint, at - seconds(200), i % 16 == 7 ? "answered" : "released" });
-        else
+        } else {
             messages.emplace_back(CrashMark { fingerprint, "s", fmt::format("s{}", i % 4), 1 + i % 2, i / 2,
                 static_cast<std::uint32_t>(1 + i % 5), at });
+        }
         if (i % 5 == 0)
             messages.push_back(messages.back());
     }
--- a/src/libs/requests/tst_requeststeps.cpp
+++ b/src/libs/requests/tst_requeststeps.cpp
@@ -111,5 +111,7 @@
         CHECK(classifyAnswer({ "a.1", "a.2", false, true, true }) == AttemptEnd::AnswerInvalid);
         CHECK(classifyAnswer({ "a.1", "", true, true, true }) == AttemptEnd::AnswerInvalid);
         CHECK(classifyAnswer({ "a.1", "a.1", true, true, false }) == AttemptEnd::AnswerCut);
+        CHECK(classifyAnswer({ "a.1", "a.1", false, true, true, true }) == AttemptEnd::ShedByServer);
+        CHECK(classifyAnswer({ "a.1", "a.2", false, true, true, true }) == AttemptEnd::AnswerInvalid);
     }
 }
