Let schedules retry idempotent requests after silent attempts

Change: simulated entry instances use firstByteTimeout() for idempotent attempts; combined schedules also run with small tables; the summary prints the answered and unknown shares of both sides.

--- a/src/libs/requests/bench_at_most_once.cpp
+++ b/src/libs/requests/bench_at_most_once.cpp
@@ -70,6 +70,9 @@
     Totals sum;
     for (const Totals& each : byKind) {
         sum.schedules += each.schedules;
+        sum.operations += each.operations;
+        sum.answered += each.answered;
+        sum.unknown += each.unknown;
         sum.firstAttempts += each.firstAttempts;
         sum.attempts += each.attempts;
         sum.violations += each.violations;
@@ -99,6 +102,8 @@
     const Totals& crashing = byKind[static_cast<std::size_t>(FailureKind::CrashingRequest)];
     fmt::print("{}: schedules={} violations={} in={} amplification={:.3f}", name, sum.schedules, sum.violations,
         sum.brokenSchedules, ratio(sum.attempts, sum.firstAttempts));
+    fmt::print(" answered={:.3f}% unknown={:.3f}%", 100.0 * ratio(sum.answered, sum.operations),
+        100.0 * ratio(sum.unknown, sum.operations));
     fmt::print(" servers-lost-per-crashing-request={:.2f} most={} held-back={}\n",
         ratio(crashing.serversCrashed, crashing.crashingRequests), crashing.mostCrashed, crashing.heldBack);
     for (const auto& [kind, count] : sum.byKind)
--- a/src/libs/requests/simulatedentry.cpp
+++ b/src/libs/requests/simulatedentry.cpp
@@ -1,5 +1,7 @@
 #include "requests/simulatedentry.h"
 
+#include "requests/connectionhealth.h"
+
 #include <algorithm>
 
 namespace clementinefall::requests::simulation {
@@ -343,7 +345,9 @@
     const std::uint64_t ticket
         = target.isExecutor ? 0 : this->inFlight.noteSent(server, { session->fingerprint, "service" });
     const TimePoint sent = this->now();
-    this->world.network.exchange(this->node, target.node, message, left, false,
+    const Duration timeout
+        = message.isIdempotent ? firstByteTimeout(this->latencies.quantile(0.999, this->now()), left) : left;
+    this->world.network.exchange(this->node, target.node, message, timeout, false,
         [this, session, target, server, ticket, sent, onEnd = std::move(onEnd)](ExchangeEnd end, const Reply& reply) {
             AttemptEnd attemptEnd = attemptEndOf(end);
             if (end == ExchangeEnd::Replied) {
--- a/src/libs/requests/simulatedsystem.cpp
+++ b/src/libs/requests/simulatedsystem.cpp
@@ -69,7 +69,8 @@
 ScheduleReport Schedule::run()
 {
     const FailureKind kind = this->world.options.kind;
-    this->world.hasSmallTables = kind == FailureKind::SmallTables;
+    const bool isCombined = kind == FailureKind::Combined;
+    this->world.hasSmallTables = kind == FailureKind::SmallTables || (isCombined && this->world.chance(0.3));
     this->build();
     for (unsigned i = 0; i < operationCount; ++i) {
         this->world.scheduler.after(this->world.millisecondsBetween(0, milliseconds(activeTime).count()),
