--- a/src/tools/ctl/commands.cpp
+++ b/src/tools/ctl/commands.cpp
@@ -198,7 +198,7 @@
     const unsigned thousands = number(error.code) / 1000;
     if (thousands != 7 && thousands != 8)
         return ExitCode::Refused;
-    this->err << "The outcome may be unknown; to repeat the command safely add --operation=" << this->operationId
+    this->err << "If the command was sent, its outcome is unknown; repeat it with --operation=" << this->operationId
               << '\n';
     return ExitCode::Unreachable;
 }
@@ -329,8 +329,10 @@
     const auto signature = bundle::signDigest(digest, valueOf(pair).secretKey);
     if (!isOk(signature))
         return this->printError(errorOf(signature));
-    const json::object body { { "signer", textOf(valueOf(status), "operator") },
-        { "publicKey", valueOf(pair).publicKey }, { "signature", valueOf(signature) } };
+    const std::string signer
+        = this->options.signer.empty() ? textOf(valueOf(status), "operator") : this->options.signer;
+    const json::object body { { "signer", signer }, { "publicKey", valueOf(pair).publicKey },
+        { "signature", valueOf(signature) } };
     return this->command("POST", fmt::format("bundles/{}/signoffs", this->argument(1)), body);
 }
 
@@ -423,6 +425,7 @@
   --server=ADDRESS:PORT[,...]  administration addresses, tried in order
   --token_file=FILE         API token, readable by its owner only
   --key_file=FILE           secret key for sign, readable by its owner only
+  --signer=NAME             signer of the first bundle, which is signed with the bootstrap token
   --output=text|json        form of the results
   --dry-run                 check a command and change nothing
   --operation=ID            repeat an earlier command whose outcome is unknown
--- a/src/tools/ctl/commands.h
+++ b/src/tools/ctl/commands.h
@@ -39,6 +39,7 @@
     bool isJson = false; ///< Output as JSON instead of text.
     bool isDryRun = false;
     std::string keyFile; ///< Holds the hex secret key for `sign`.
+    std::string signer; ///< Name for `sign`; empty: the operator of the token.
     std::string operationId; ///< Empty: a new one for each command.
     std::string ifMatch;
 };
--- a/src/tools/ctl/httptransport.cpp
+++ b/src/tools/ctl/httptransport.cpp
@@ -24,7 +24,7 @@
     const TimePoint deadline = Clock::now() + timeout;
     const Status connected = co_await connection->connect(address, deadline);
     if (!isOk(connected)) {
-        attempt.response = makeError(ResultCode::PeerUnreachable, "{}: {}", address.text(), errorOf(connected).message);
+        attempt.response = makeError(ResultCode::PeerUnreachable, "{}", errorOf(connected).message);
         co_return;
     }
     const auto response = co_await connection->exchange(std::move(request), maximumAnswerBytes, deadline);
--- a/src/tools/ctl/main.cpp
+++ b/src/tools/ctl/main.cpp
@@ -11,6 +11,7 @@
 DEFINE_string(server, "127.0.0.1:9000", "administration addresses of entry instances, comma-separated");
 DEFINE_string(token_file, "", "file with the operator's API token");
 DEFINE_string(key_file, "", "file with the secret key for sign");
+DEFINE_string(signer, "", "name of the signer; by default the operator of the token");
 DEFINE_string(output, "text", "text or json");
 DEFINE_bool(dry_run, false, "check a command and change nothing");
 DEFINE_string(operation, "", "operation id of an earlier command");
@@ -34,18 +35,31 @@
     return exitNumber(ExitCode::Usage);
 }
 
-/// gflags ends the process with 1 at an unknown flag, which here means refused; so flags are checked before.
-std::string unknownFlag(const std::vector<std::string>& arguments)
+/// Sets the flags and collects the other arguments. gflags' own parser would end the process with 1, which here means
+/// refused, at a wrong flag. Returns what is wrong, or an empty text.
+std::string parseFlags(const std::vector<std::string>& words, std::vector<std::string>& arguments)
 {
-    for (const std::string& argument : arguments) {
-        if (!argument.starts_with("-") || argument == "-" || argument == "--")
+    for (std::size_t i = 0; i < words.size(); ++i) {
+        const std::string& word = words[i];
+        if (!word.starts_with("-") || word == "-") {
+            arguments.push_back(word);
             continue;
-        std::string name = argument.substr(argument.find_first_not_of('-'));
-        name = name.substr(0, name.find('='));
+        }
+        const std::size_t equals = word.find('=');
+        std::string name = word.substr(0, equals);
+        name.erase(0, name.find_first_not_of('-'));
         std::replace(name.begin(), name.end(), '-', '_');
         gflags::CommandLineFlagInfo info;
-        if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info))
-            return argument;
+        if (name.empty() || !gflags::GetCommandLineFlagInfo(name.c_str(), &info))
+            return "unknown flag " + word;
+        std::string value = equals == std::string::npos ? "true" : word.substr(equals + 1);
+        if (equals == std::string::npos && info.type != "bool") {
+            if (++i == words.size())
+                return word + " needs a value";
+            value = words[i];
+        }
+        if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+            return "bad value of " + word;
     }
     return "";
 }
@@ -56,10 +70,10 @@
 
 int main(int argc, char** argv)
 {
-    const std::string unknown = unknownFlag({ argv + 1, argv + argc });
-    if (!unknown.empty())
-        return usageError("unknown flag " + unknown);
-    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    std::vector<std::string> arguments;
+    const std::string mistake = parseFlags({ argv + 1, argv + argc }, arguments);
+    if (!mistake.empty())
+        return usageError(mistake);
     if (FLAGS_help) {
         std::cout << usageText();
         return 0;
@@ -72,7 +86,6 @@
         return usageError("--output is text or json");
     if (FLAGS_timeout_ms <= 0)
         return usageError("--timeout_ms must be positive");
-    const std::vector<std::string> arguments(argv + 1, argv + argc);
     ServerList servers;
     servers.timeout = milliseconds(FLAGS_timeout_ms);
     std::vector<std::string> addresses;
@@ -89,6 +102,7 @@
             return usageError("--token_file: " + errorOf(token).message);
         servers.token = valueOf(token);
     }
-    const Options options { FLAGS_output == "json", FLAGS_dry_run, FLAGS_key_file, FLAGS_operation, FLAGS_if_match };
+    const Options options { FLAGS_output == "json", FLAGS_dry_run, FLAGS_key_file, FLAGS_signer, FLAGS_operation,
+        FLAGS_if_match };
     return exitNumber(runCommand(options, arguments, httpTransport(servers), std::cout, std::cerr));
 }
--- a/src/tools/ctl/tst_commands.cpp
+++ b/src/tools/ctl/tst_commands.cpp
@@ -154,10 +154,9 @@
     const Transport bootstrap = deployment.transport("first");
     REQUIRE(runCtl(bootstrap, { "submit", folder.file("1.json") }).code == ExitCode::Ok);
     CHECK(runCtl(bootstrap, { "accept", "1" }).code == ExitCode::Refused);
-    const bundle::SignOff byAna = people.sign("ana", first);
-    const std::string signBody = boost::json::serialize(boost::json::object {
-        { "signer", byAna.signer }, { "publicKey", byAna.publicKey }, { "signature", byAna.signature } });
-    REQUIRE(valueOf(bootstrap({ "POST", "/v1/admin/bundles/1/signoffs", signBody, "op-0", "", true })).status == 200);
+    Options signFirst = keyOptions("ana");
+    signFirst.signer = "ana";
+    REQUIRE(runCtl(bootstrap, { "sign", "1" }, signFirst).code == ExitCode::Ok);
     REQUIRE(runCtl(bootstrap, { "accept", "1" }).code == ExitCode::Ok);
     deployment.adopt(first);
 
