Spread rumours faster, repeat probes and add bench_membership

Change: while an instance has rumours it sends one more message to a random member every 250 ms, and the direct probe is repeated together with the indirect ones. bench_membership compares the protocol, with and without the probe of the ring successor, with a ring of keep-alives.

--- /dev/null
+++ b/src/libs/membership/bench_membership.cpp
@@ -0,0 +1,366 @@
+// Compares the membership protocol with a ring of keep-alives on the same fake network: detection time, false
+// suspicions, messages for each instance and second, and several neighbours dead at once.
+
+#include "membership/fakefleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace clementinefall;
+using namespace clementinefall::membership;
+
+namespace {
+
+constexpr std::size_t zones = 12;
+constexpr milliseconds interZoneDelay { 4 };
+constexpr milliseconds interRegionDelay { 55 };
+constexpr milliseconds detectionLimit { 20'000 };
+constexpr milliseconds detectionBound { 5500 }; // design page, section 9
+constexpr std::size_t neighbours = 4;
+
+/// Two zones make a region; zones are assigned in turn.
+milliseconds delayBetween(std::size_t from, std::size_t to)
+{
+    return (from % zones) / 2 == (to % zones) / 2 ? interZoneDelay : interRegionDelay;
+}
+
+struct Figures {
+    std::vector<double> detection; ///< Seconds until all running instances hold a dead one as dead.
+    std::size_t missed = 0; ///< Dead instances that some instance did not learn of within detectionLimit.
+    double suspicionsPerHour = 0; ///< False ones, for each instance.
+    std::size_t falseDeaths = 0;
+    double messagesPerSecond = 0; ///< For each instance.
+    double neighboursDetection = 0; ///< Seconds until four ring neighbours that died at once are dead everywhere.
+
+    double median() const
+    {
+        std::vector<double> sorted = this->detection;
+        std::sort(sorted.begin(), sorted.end());
+        return sorted.empty() ? 0 : sorted[sorted.size() / 2];
+    }
+    double worst() const
+    {
+        return this->detection.empty() ? 0 : *std::max_element(this->detection.begin(), this->detection.end());
+    }
+};
+
+double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+std::vector<std::size_t> ringOrder(std::size_t size)
+{
+    std::vector<std::size_t> order(size);
+    for (std::size_t i = 0; i < size; ++i)
+        order[i] = i;
+    std::sort(order.begin(), order.end(), [](std::size_t left, std::size_t right) {
+        return ringPositionOf(FakeFleet::addressOf(left)) < ringPositionOf(FakeFleet::addressOf(right));
+    });
+    return order;
+}
+
+/// Baseline: each member calls its ring predecessor once a second, takes it for dead after one call without an answer
+/// in 300 ms, and tells all others once. Without acknowledgements or rumours, as a plain keep-alive ring works.
+class KeepAliveRing {
+public:
+    KeepAliveRing(std::size_t size, double lossRate, std::uint64_t seed)
+        : random(seed)
+        , loss(lossRate)
+        , order(ringOrder(size))
+        , nodes(size)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            this->nodes[this->order[i]].place = i;
+            this->nodes[i].nextCall = this->now + milliseconds(randomBelow(this->random, 1000));
+        }
+    }
+
+    void kill(std::size_t node) { this->nodes[node].running = false; }
+
+    /// Starts \a node again and makes all others forget its death.
+    void restore(std::size_t node)
+    {
+        this->nodes[node].running = true;
+        for (Node& other : this->nodes)
+            other.dead.erase(node);
+        this->nodes[node].dead.clear();
+    }
+
+    bool isDeadEverywhere(std::size_t node) const
+    {
+        return std::all_of(this->nodes.begin(), this->nodes.end(),
+            [&](const Node& other) { return !other.running || other.dead.contains(node); });
+    }
+
+    void runFor(milliseconds time)
+    {
+        const TimePoint end = this->now + time;
+        while (this->now < end) {
+            this->now += milliseconds(5);
+            while (!this->queue.empty() && this->queue.begin()->first <= this->now) {
+                const Event event = this->queue.begin()->second;
+                this->queue.erase(this->queue.begin());
+                this->handle(event);
+            }
+            for (std::size_t i = 0; i < this->nodes.size(); ++i)
+                this->runNode(i);
+        }
+    }
+
+    TimePoint now { seconds(1000) };
+    std::size_t sent = 0;
+    std::size_t falseSuspicions = 0;
+
+private:
+    enum class EventKind { Call, Answer, Dead };
+    struct Event {
+        EventKind kind;
+        std::size_t from;
+        std::size_t to;
+        std::size_t subject;
+    };
+    struct Node {
+        std::size_t place = 0;
+        bool running = true;
+        TimePoint nextCall;
+        std::optional<TimePoint> calledAt;
+        std::size_t called = 0;
+        std::set<std::size_t> dead;
+    };
+
+    void transmit(const Event& event)
+    {
+        ++this->sent;
+        if (randomUnit(this->random) >= this->loss)
+            this->queue.emplace(this->now + delayBetween(event.from, event.to), event);
+    }
+
+    void handle(const Event& event)
+    {
+        Node& node = this->nodes[event.to];
+        if (!node.running)
+            return;
+        if (event.kind == EventKind::Call)
+            this->transmit({ EventKind::Answer, event.to, event.from, 0 });
+        else if (event.kind == EventKind::Dead)
+            node.dead.insert(event.subject);
+        else if (event.from == node.called)
+            node.calledAt.reset();
+    }
+
+    std::size_t predecessor(const Node& node) const
+    {
+        for (std::size_t step = 1; step < this->order.size(); ++step) {
+            const std::size_t other = this->order[(node.place + this->order.size() - step) % this->order.size()];
+            if (!node.dead.contains(other))
+                return other;
+        }
+        return this->order[node.place];
+    }
+
+    void runNode(std::size_t self)
+    {
+        Node& node = this->nodes[self];
+        if (!node.running)
+            return;
+        if (node.calledAt && this->now - *node.calledAt >= milliseconds(300)) {
+            node.calledAt.reset();
+            this->falseSuspicions += this->nodes[node.called].running ? 1 : 0;
+            node.dead.insert(node.called);
+            for (std::size_t other = 0; other < this->nodes.size(); ++other) {
+                if (other != self)
+                    this->transmit({ EventKind::Dead, self, other, node.called });
+            }
+        }
+        if (this->now < node.nextCall)
+            return;
+        node.nextCall += seconds(1);
+        node.called = this->predecessor(node);
+        node.calledAt = this->now;
+        this->transmit({ EventKind::Call, self, node.called, 0 });
+        this->forgiveFalse(node);
+    }
+
+    /// A false suspicion ends at the next call, as if the member had come back at once; otherwise the ring under loss
+    /// would run out of members and show fewer suspicions than it makes.
+    void forgiveFalse(Node& node)
+    {
+        std::erase_if(node.dead, [&](std::size_t other) { return this->nodes[other].running; });
+    }
+
+    Random random;
+    double loss;
+    std::vector<std::size_t> order;
+    std::vector<Node> nodes;
+    std::multimap<TimePoint, Event> queue;
+};
+
+struct Plan {
+    std::size_t size;
+    double loss;
+    std::size_t kills;
+    seconds calm; ///< Length of the run that counts false suspicions.
+};
+
+bool isDeadEverywhere(const FakeFleet& fleet, std::size_t node)
+{
+    const auto running = static_cast<std::size_t>(std::count_if(
+        fleet.nodes.begin(), fleet.nodes.end(), [](const FakeFleet::Node& entry) { return entry.running; }));
+    return fleet.countHolding(node, MemberState::Dead) == running;
+}
+
+/// Runs until all of \a dead are held dead; returns nothing after detectionLimit.
+template <typename Network, typename IsDead>
+std::optional<double> waitUntilDead(Network& network, const std::vector<std::size_t>& dead, IsDead holds)
+{
+    const TimePoint since = network.now;
+    while (network.now - since < detectionLimit) {
+        network.runFor(milliseconds(50));
+        if (std::all_of(dead.begin(), dead.end(), [&](std::size_t node) { return holds(network, node); }))
+            return secondsOf(network.now - since);
+    }
+    return std::nullopt;
+}
+
+void countFalse(const FakeFleet& fleet, const Plan& plan, Figures& figures)
+{
+    // A suspicion counts once for the fleet: it is one refutation counter of one member.
+    std::set<std::pair<std::size_t, std::uint32_t>> suspicions;
+    std::set<std::pair<std::size_t, std::uint32_t>> deaths;
+    for (const FakeFleet::ObservedChange& observed : fleet.changes) {
+        const MemberRecord& record = observed.change.record;
+        const std::pair key(FakeFleet::nodeOf(record.address), record.refutations);
+        if (record.state == MemberState::Suspect)
+            suspicions.insert(key);
+        if (record.state == MemberState::Dead)
+            deaths.insert(key);
+    }
+    figures.suspicionsPerHour = static_cast<double>(suspicions.size()) * 3600 / static_cast<double>(plan.calm.count())
+        / static_cast<double>(plan.size);
+    figures.falseDeaths = deaths.size();
+}
+
+Figures measureProtocol(const Plan& plan, bool successorProbes, std::uint64_t seed)
+{
+    Timing timing;
+    timing.successorProbes = successorProbes;
+    FakeFleet fleet(plan.size, zones, seed, timing);
+    fleet.delay = delayBetween;
+    fleet.introduceAll();
+    fleet.runFor(seconds(15));
+    fleet.loss = plan.loss;
+    fleet.changes.clear();
+    const auto sentBefore = [&] {
+        std::size_t sent = 0;
+        for (const FakeFleet::Node& node : fleet.nodes)
+            sent += node.messagesSent;
+        return sent;
+    };
+    Figures figures;
+    const std::size_t before = sentBefore();
+    fleet.runFor(plan.calm);
+    figures.messagesPerSecond = static_cast<double>(sentBefore() - before) / static_cast<double>(plan.size)
+        / static_cast<double>(plan.calm.count());
+    countFalse(fleet, plan, figures);
+    for (std::size_t i = 0; i < plan.kills; ++i) {
+        const std::size_t node = randomBelow(fleet.random, plan.size);
+        fleet.runFor(milliseconds(randomBelow(fleet.random, 1000)));
+        fleet.kill(node);
+        const auto time = waitUntilDead(fleet, { node }, isDeadEverywhere);
+        if (time)
+            figures.detection.push_back(*time);
+        else
+            ++figures.missed;
+        fleet.start(node, zones, 3, plan.size);
+        fleet.runFor(seconds(10));
+    }
+    const std::vector<std::size_t> order = ringOrder(plan.size);
+    const std::vector<std::size_t> dead(order.begin(), order.begin() + neighbours);
+    for (const std::size_t node : dead)
+        fleet.kill(node);
+    figures.neighboursDetection = waitUntilDead(fleet, dead, isDeadEverywhere).value_or(-1);
+    return figures;
+}
+
+Figures measureRing(const Plan& plan, std::uint64_t seed)
+{
+    KeepAliveRing ring(plan.size, plan.loss, seed);
+    Random random(seed);
+    ring.runFor(seconds(5));
+    Figures figures;
+    const std::size_t sentBefore = ring.sent;
+    const std::size_t falseBefore = ring.falseSuspicions;
+    ring.runFor(plan.calm);
+    const double instanceSeconds = static_cast<double>(plan.size) * static_cast<double>(plan.calm.count());
+    figures.messagesPerSecond = static_cast<double>(ring.sent - sentBefore) / instanceSeconds;
+    // One failed call makes the member dead; there is no refutation.
+    figures.falseDeaths = ring.falseSuspicions - falseBefore;
+    figures.suspicionsPerHour = static_cast<double>(figures.falseDeaths) * 3600 / instanceSeconds;
+    const auto holds = [](const KeepAliveRing& network, std::size_t node) { return network.isDeadEverywhere(node); };
+    for (std::size_t i = 0; i < plan.kills; ++i) {
+        const std::size_t node = randomBelow(random, plan.size);
+        ring.runFor(milliseconds(randomBelow(random, 1000)));
+        ring.kill(node);
+        const auto time = waitUntilDead(ring, { node }, holds);
+        if (time)
+            figures.detection.push_back(*time);
+        else
+            ++figures.missed;
+        ring.restore(node);
+        ring.runFor(seconds(3));
+    }
+    const std::vector<std::size_t> order = ringOrder(plan.size);
+    const std::vector<std::size_t> dead(order.begin(), order.begin() + neighbours);
+    for (const std::size_t node : dead)
+        ring.kill(node);
+    figures.neighboursDetection = waitUntilDead(ring, dead, holds).value_or(-1);
+    return figures;
+}
+
+void print(std::string_view protocol, const Plan& plan, const Figures& figures)
+{
+    fmt::print("membership protocol={} size={} loss={:.2f} detection_median_s={:.2f} detection_worst_s={:.2f} "
+               "missed={}/{} false_suspicions_per_instance_hour={:.1f} false_deaths={} messages_per_instance_s={:.2f} "
+               "four_neighbours_s={:.2f}\n",
+        protocol, plan.size, plan.loss, figures.median(), figures.worst(), figures.missed, plan.kills,
+        figures.suspicionsPerHour, figures.falseDeaths, figures.messagesPerSecond, figures.neighboursDetection);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main()
+{
+    const std::vector<Plan> plans {
+        { 12, 0.0, 20, seconds(300) },
+        { 12, 0.01, 20, seconds(300) },
+        { 12, 0.05, 20, seconds(300) },
+        { 12, 0.20, 20, seconds(300) },
+        { 50, 0.01, 10, seconds(200) },
+        { 50, 0.05, 10, seconds(200) },
+        { 50, 0.20, 10, seconds(200) },
+        { 200, 0.01, 5, seconds(60) },
+        { 200, 0.05, 5, seconds(60) },
+        { 200, 0.20, 5, seconds(60) },
+        { 750, 0.01, 2, seconds(20) },
+    };
+    std::uint64_t seed = 1;
+    double worst = 0;
+    bool passed = true;
+    for (const Plan& plan : plans) {
+        const Figures protocol = measureProtocol(plan, true, ++seed);
+        print("random+successor", plan, protocol);
+        print("random", plan, measureProtocol(plan, false, seed));
+        print("ring", plan, measureRing(plan, seed));
+        // The bound holds for the loss of a working network; at 5% nobody alive may be declared dead either.
+        if (plan.loss <= 0.01) {
+            worst = std::max(worst, protocol.worst());
+            passed = passed && protocol.missed == 0 && secondsOf(detectionBound) >= protocol.worst();
+        }
+        if (plan.loss <= 0.05)
+            passed = passed && protocol.falseDeaths == 0;
+    }
+    fmt::print("RESULT membership {} {:.2f}\n", passed ? "pass" : "fail", worst);
+    return passed ? 0 : 1;
+}
--- a/src/libs/membership/fakefleet.h
+++ b/src/libs/membership/fakefleet.h
@@ -74,6 +74,17 @@
         this->nodes[node] = std::move(fresh);
     }
 
+    /// Fills all tables, so that a run starts in a calm fleet.
+    void introduceAll()
+    {
+        for (Node& node : this->nodes) {
+            for (const Node& other : this->nodes) {
+                if (&node != &other && !findMember(node.table, other.table.self.address))
+                    addMember(node.table, other.table.self, this->now);
+            }
+        }
+    }
+
     void kill(std::size_t node) { this->nodes[node].running = false; }
     void pause(std::size_t node) { this->nodes[node].paused = true; }
 
--- a/src/libs/membership/membership.capnp
+++ b/src/libs/membership/membership.capnp
@@ -17,6 +17,7 @@
   relayedAck @3;
   tableRequest @4;
   tablePage @5;
+  gossip @6;
 }
 
 struct Record {
--- a/src/libs/membership/memberstep.cpp
+++ b/src/libs/membership/memberstep.cpp
@@ -21,6 +21,19 @@
 bool isPresent(const Member& member) { return !isDead(member); }
 bool isHealthy(const Member& member) { return isPresent(member) && !member.failedSince; }
 
+unsigned rumourSends(const MemberTable& table)
+{
+    const double members = static_cast<double>(table.members.size() + 2);
+    return sendsPerDigit * static_cast<unsigned>(std::ceil(std::log10(members)));
+}
+
+/// Raises the instance's own counter over \a refutations and lets its record spread.
+void refute(MemberTable& table, std::uint32_t refutations)
+{
+    table.self.refutations = refutations + 1;
+    table.ownRumourSends = rumourSends(table);
+}
+
 void addRumour(MemberTable& table, const HostPort& address)
 {
     const auto found = std::find_if(
@@ -79,8 +92,7 @@
             break;
         ++rumour.sends;
     }
-    const auto digits = static_cast<unsigned>(std::ceil(std::log10(static_cast<double>(table.members.size() + 2))));
-    const unsigned limit = sendsPerDigit * digits;
+    const unsigned limit = rumourSends(table);
     std::erase_if(table.rumours,
         [&](const Rumour& rumour) { return rumour.sends >= limit || !findMember(table, rumour.address); });
 }
@@ -92,6 +104,8 @@
     message.sequence = ++table.sequence;
     message.nonce = nonce;
     message.sender = table.self;
+    if (table.ownRumourSends > 0)
+        --table.ownRumourSends;
     message.report = table.report;
     message.knownMembers = static_cast<std::uint16_t>(table.members.size() + 1);
     message.tableDigest = tableDigest(table);
@@ -123,9 +137,12 @@
     sendProbe(table, now, random, std::move(probe), step);
 }
 
+/// Second part of a probe: once more directly, so that one lost datagram does not leave it to the helpers, and through
+/// the helpers.
 void sendPingRequests(
     MemberTable& table, TimePoint now, Random& random, std::uint64_t nonce, const Probe& probe, Step& step)
 {
+    send(table, now, probe.target, MessageKind::Ping, nonce, step);
     const auto helpers = pickMembers(table, random, table.timing.indirectProbes,
         [&](const Member& member) { return isHealthy(member) && member.record.address != probe.target; });
     for (const std::size_t place : helpers) {
@@ -210,7 +227,7 @@
     }
     if (!overrules(claim, table.self))
         return;
-    table.self.refutations = claim.refutations + 1;
+    refute(table, claim.refutations);
 }
 
 /// \a spreadNew is false for records from a table page: the members of a table are no news to the fleet.
@@ -296,7 +313,7 @@
     shiftDeadlines(table, gap);
     if (gap <= table.timing.pauseLimit)
         return;
-    ++table.self.refutations;
+    refute(table, table.self.refutations);
     table.announced = false;
     step.resumed = true;
     announce(table, now, random, step);
@@ -375,6 +392,15 @@
         probeMember(table, now, random, *next, ProbePurpose::Detect, step);
 }
 
+void spreadRumours(MemberTable& table, TimePoint now, Random& random, Step& step)
+{
+    if (now < table.nextGossip || (table.rumours.empty() && table.ownRumourSends == 0))
+        return;
+    table.nextGossip = now + table.timing.gossipPeriod;
+    for (const std::size_t place : pickMembers(table, random, 1, isPresent))
+        send(table, now, table.members[place].record.address, MessageKind::Gossip, 0, step);
+}
+
 void probeDead(MemberTable& table, TimePoint now, Random& random, Step& step)
 {
     if (now < table.nextDeadProbe)
@@ -574,6 +600,7 @@
     expireProbes(table, now, random, step);
     expireMembers(table, now, step);
     probeForPeriod(table, now, random, step);
+    spreadRumours(table, now, random, step);
     probeDead(table, now, random, step);
     probeHint(table, now, random, step);
     requestPage(table, now, random, step);
@@ -608,6 +635,8 @@
     case MessageKind::TablePage:
         handlePage(table, message);
         break;
+    case MessageKind::Gossip:
+        break;
     }
 }
 
@@ -616,7 +645,7 @@
     if (table.self.state == MemberState::Leaving)
         return;
     table.self.state = MemberState::Leaving;
-    ++table.self.refutations;
+    refute(table, table.self.refutations);
     announce(table, now, random, step);
 }
 
--- a/src/libs/membership/membertable.h
+++ b/src/libs/membership/membertable.h
@@ -22,6 +22,9 @@
     milliseconds probeTimeout { 700 };
     milliseconds suspicionBase { 3000 };
     milliseconds suspicionMaximum { 4000 };
+    /// While there are rumours, one more message goes to a random member in each. Probes and their answers alone reach
+    /// the last of 50 members only after the suspicion has ended.
+    milliseconds gossipPeriod { 250 };
     milliseconds pauseLimit { 2000 }; ///< After a longer pause the instance announces itself again.
     milliseconds deadProbePeriod { 5000 }; ///< One random dead member is tried in each.
     milliseconds hintPeriod { 5000 }; ///< One random hint that is not a member is tried in each.
@@ -95,6 +98,7 @@
     std::unordered_map<std::string, std::size_t> index; ///< Address text to place in `members`.
     std::map<std::uint64_t, Probe> probes; ///< By nonce.
     std::vector<Rumour> rumours;
+    unsigned ownRumourSends = 0; ///< Messages that are still to carry the instance's own changed record.
 
     std::uint64_t sequence = 0;
     bool announced = false; ///< A member has answered since the start or the last long pause.
@@ -104,6 +108,7 @@
     TimePoint nextPeriod;
     TimePoint nextDeadProbe;
     TimePoint nextHint;
+    TimePoint nextGossip;
     TimePoint lastPage;
     std::optional<std::uint64_t> pageCursor; ///< Position of the read through other members' tables.
     std::optional<TimePoint> pageSentAt; ///< A page was requested and has not arrived.
--- a/src/libs/membership/message.h
+++ b/src/libs/membership/message.h
@@ -38,7 +38,7 @@
     friend bool operator==(const InstanceReport&, const InstanceReport&) = default;
 };
 
-enum class MessageKind : std::uint8_t { Ping, Ack, PingRequest, RelayedAck, TableRequest, TablePage };
+enum class MessageKind : std::uint8_t { Ping, Ack, PingRequest, RelayedAck, TableRequest, TablePage, Gossip };
 
 struct Message {
     MessageKind kind = MessageKind::Ping;
--- a/src/libs/membership/messagecodec.cpp
+++ b/src/libs/membership/messagecodec.cpp
@@ -27,7 +27,7 @@
 constexpr int nestingLimit = 5;
 
 constexpr std::uint16_t lastState = static_cast<std::uint16_t>(MemberState::Dead);
-constexpr std::uint16_t lastKind = static_cast<std::uint16_t>(MessageKind::TablePage);
+constexpr std::uint16_t lastKind = static_cast<std::uint16_t>(MessageKind::Gossip);
 constexpr milliseconds maximumSuspectAge { 0xffff };
 
 using Mac = std::array<unsigned char, macBytes>;
