Add RPC between entry instances: control loop, server and client

Cause: entry instances need to fetch bundles from each other, announce new versions, report crashes and exchange status on the control thread, which already runs an Asio io_context.

Change: ControlLoop drives a KJ event loop from the io_context through a kj::EventPort. AsioStream adapts a TCP socket by readiness waits, so that no buffer of a dropped promise is used. The first object of a connection agrees on a protocol version and hands out the call interface only after both sides have proved the cluster key over fresh nonces. Connections are bounded, closed when they do not authenticate or are idle, and opened again with jittered exponential backoff. Each call has a deadline.

--- /dev/null
+++ b/src/libs/peers/asiostream.cpp
@@ -0,0 +1,193 @@
+#include "peers/asiostream.h"
+
+#include <boost/asio/buffer.hpp>
+#include <kj/debug.h>
+
+#include <string>
+
+namespace clementinefall::peers {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+class Reader;
+class Writer;
+
+kj::Exception disconnected(const error_code& error)
+{
+    return KJ_EXCEPTION(DISCONNECTED, "connection failed", error.message());
+}
+
+bool isRetry(const error_code& error) { return error == asio::error::would_block || error == asio::error::interrupted; }
+
+} // namespace
+
+struct AsioStream::State {
+    explicit State(asio::ip::tcp::socket streamSocket)
+        : socket(std::move(streamSocket))
+    {
+    }
+    asio::ip::tcp::socket socket;
+    Reader* reader = nullptr;
+    Writer* writer = nullptr;
+};
+
+namespace {
+
+class Reader {
+public:
+    Reader(kj::PromiseFulfiller<std::size_t>& readFulfiller, std::shared_ptr<AsioStream::State> readState, void* buffer,
+        std::size_t minimumBytes, std::size_t maximumBytes)
+        : fulfiller(readFulfiller)
+        , state(std::move(readState))
+        , target(static_cast<char*>(buffer))
+        , minimum(minimumBytes)
+        , maximum(maximumBytes)
+    {
+        this->state->reader = this;
+        this->proceed();
+    }
+    ~Reader() { this->state->reader = nullptr; }
+    Reader(const Reader&) = delete;
+    Reader& operator=(const Reader&) = delete;
+
+    void proceed()
+    {
+        error_code error;
+        while (this->done < this->minimum && !error) {
+            this->done += this->state->socket.read_some(
+                asio::buffer(this->target + this->done, this->maximum - this->done), error);
+        }
+        if (!error || error == asio::error::eof || error == asio::error::bad_descriptor)
+            this->fulfiller.fulfill(kj::cp(this->done));
+        else if (isRetry(error))
+            this->wait();
+        else
+            this->fulfiller.reject(disconnected(error));
+    }
+
+private:
+    void wait()
+    {
+        this->state->socket.async_wait(
+            asio::ip::tcp::socket::wait_read, [held = this->state, self = this](const error_code&) {
+                if (held->reader == self)
+                    self->proceed();
+            });
+    }
+
+    kj::PromiseFulfiller<std::size_t>& fulfiller;
+    std::shared_ptr<AsioStream::State> state;
+    char* target;
+    std::size_t minimum;
+    std::size_t maximum;
+    std::size_t done = 0;
+};
+
+class Writer {
+public:
+    Writer(kj::PromiseFulfiller<void>& writeFulfiller, std::shared_ptr<AsioStream::State> writeState, std::string bytes)
+        : fulfiller(writeFulfiller)
+        , state(std::move(writeState))
+        , source(std::move(bytes))
+    {
+        this->state->writer = this;
+        this->proceed();
+    }
+    ~Writer() { this->state->writer = nullptr; }
+    Writer(const Writer&) = delete;
+    Writer& operator=(const Writer&) = delete;
+
+    void proceed()
+    {
+        error_code error;
+        while (this->done < this->source.size() && !error) {
+            this->done += this->state->socket.write_some(
+                asio::buffer(this->source.data() + this->done, this->source.size() - this->done), error);
+        }
+        if (!error)
+            this->fulfiller.fulfill();
+        else if (isRetry(error))
+            this->wait();
+        else
+            this->fulfiller.reject(disconnected(error));
+    }
+
+private:
+    void wait()
+    {
+        this->state->socket.async_wait(
+            asio::ip::tcp::socket::wait_write, [held = this->state, self = this](const error_code&) {
+                if (held->writer == self)
+                    self->proceed();
+            });
+    }
+
+    kj::PromiseFulfiller<void>& fulfiller;
+    std::shared_ptr<AsioStream::State> state;
+    std::string source;
+    std::size_t done = 0;
+};
+
+void closeSocket(AsioStream::State& state)
+{
+    error_code ignored;
+    state.socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
+} // namespace
+
+AsioStream::AsioStream(asio::ip::tcp::socket socket)
+    : state(std::make_shared<State>(std::move(socket)))
+{
+    error_code ignored;
+    this->state->socket.non_blocking(true, ignored);
+    this->state->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+AsioStream::~AsioStream() noexcept
+{
+    error_code ignored;
+    this->state->socket.close(ignored);
+}
+
+kj::Promise<std::size_t> AsioStream::tryRead(void* buffer, std::size_t minimumBytes, std::size_t maximumBytes)
+{
+    return kj::newAdaptedPromise<std::size_t, Reader>(this->state, buffer, minimumBytes, maximumBytes);
+}
+
+kj::Promise<void> AsioStream::write(const void* buffer, std::size_t size)
+{
+    return kj::newAdaptedPromise<void, Writer>(this->state, std::string(static_cast<const char*>(buffer), size));
+}
+
+kj::Promise<void> AsioStream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    std::string joined;
+    for (const auto& piece : pieces)
+        joined.append(reinterpret_cast<const char*>(piece.begin()), piece.size());
+    return kj::newAdaptedPromise<void, Writer>(this->state, std::move(joined));
+}
+
+// The RPC system sees the end of a connection by its read.
+kj::Promise<void> AsioStream::whenWriteDisconnected() { return kj::NEVER_DONE; }
+
+void AsioStream::shutdownWrite()
+{
+    error_code ignored;
+    this->state->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void AsioStream::close() { closeSocket(*this->state); }
+
+std::function<void()> AsioStream::closer() const
+{
+    return [weak = std::weak_ptr<State>(this->state)] {
+        if (const auto held = weak.lock())
+            closeSocket(*held);
+    };
+}
+
+} // namespace clementinefall::peers
--- /dev/null
+++ b/src/libs/peers/peerclient.cpp
@@ -0,0 +1,400 @@
+#include "peers/peerclient.h"
+
+#include "peers/asiostream.h"
+#include "peers/challenge.h"
+#include "peers/controlloop.h"
+#include "peers/peers.capnp.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace clementinefall::peers {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::string_view codePrefix = "code=";
+
+std::string textOf(capnp::Data::Reader data) { return { reinterpret_cast<const char*>(data.begin()), data.size() }; }
+
+std::string textOf(capnp::Text::Reader text) { return { text.begin(), text.size() }; }
+
+capnp::Data::Reader dataOf(const std::string& bytes)
+{
+    return { reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size() };
+}
+
+/// Failure with a result code, on its way through promises.
+kj::Exception failure(ResultCode code, std::string_view what)
+{
+    const std::string text = fmt::format("{}{} {}", codePrefix, number(code), what);
+    return kj::Exception(kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::heapString(text.data(), text.size()));
+}
+
+Error errorFrom(const kj::Exception& exception)
+{
+    const std::string text(exception.getDescription().cStr());
+    if (text.rfind(codePrefix, 0) == 0) {
+        const std::size_t space = text.find(' ');
+        const auto code = resultCodeFromNumber(
+            static_cast<unsigned>(std::stoul(text.substr(codePrefix.size(), space - codePrefix.size()))));
+        return Error { code.value_or(ResultCode::PeerBadMessage), text.substr(space + 1) };
+    }
+    // A connection that ends in the middle of a message is reported as FAILED by the message reader.
+    const bool isLost = exception.getType() == kj::Exception::Type::DISCONNECTED
+        || exception.getType() == kj::Exception::Type::OVERLOADED || text.find("EOF") != std::string::npos;
+    return Error { isLost ? ResultCode::PeerUnreachable : ResultCode::PeerBadMessage, text };
+}
+
+/// Connects a socket.
+class Connector {
+public:
+    Connector(kj::PromiseFulfiller<kj::Own<AsioStream>>& fulfiller, asio::io_context& context, const HostPort& address)
+        : socket(std::make_shared<asio::ip::tcp::socket>(context))
+        , alive(std::make_shared<bool>(true))
+    {
+        error_code error;
+        const auto host = asio::ip::make_address(address.host, error);
+        if (error) {
+            fulfiller.reject(failure(ResultCode::PeerUnreachable, "address is not an IP number"));
+            return;
+        }
+        this->socket->async_connect(
+            { host, address.port }, [isAlive = this->alive, held = this->socket, &fulfiller](const error_code& result) {
+                if (!*isAlive)
+                    return;
+                if (result)
+                    fulfiller.reject(failure(ResultCode::PeerUnreachable, result.message()));
+                else
+                    fulfiller.fulfill(kj::heap<AsioStream>(std::move(*held)));
+            });
+    }
+    ~Connector()
+    {
+        *this->alive = false;
+        error_code ignored;
+        this->socket->close(ignored);
+    }
+    Connector(const Connector&) = delete;
+    Connector& operator=(const Connector&) = delete;
+
+private:
+    std::shared_ptr<asio::ip::tcp::socket> socket;
+    std::shared_ptr<bool> alive;
+};
+
+capnp::ReaderOptions readerOptions()
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = maximumRpcMessageBytes / sizeof(capnp::word);
+    return options;
+}
+
+/// Parts of an open connection, in the order in which they depend on each other.
+struct OpenConnection {
+    explicit OpenConnection(kj::Own<AsioStream> openStream)
+        : stream(kj::mv(openStream))
+        , network(*this->stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions())
+        , rpc(capnp::makeRpcClient(this->network))
+    {
+    }
+    wire::Gate::Client gate()
+    {
+        capnp::MallocMessageBuilder message(8);
+        auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
+        server.setSide(capnp::rpc::twoparty::Side::SERVER);
+        return this->rpc.bootstrap(server).castAs<wire::Gate>();
+    }
+
+    kj::Own<AsioStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
+struct Connection {
+    kj::Own<OpenConnection> open;
+    kj::Maybe<wire::Peer::Client> peer;
+    kj::Maybe<kj::ForkedPromise<void>> ready;
+    unsigned callsUnderWay = 0;
+    TimePoint lastUse;
+};
+
+using SharedConnection = std::shared_ptr<Connection>;
+
+struct Backoff {
+    unsigned failures = 0;
+    TimePoint until;
+};
+
+BundleAnswer readBundle(wire::Peer::GetBundleResults::Reader results)
+{
+    BundleAnswer answer;
+    KJ_REQUIRE(static_cast<unsigned>(results.getKind()) <= static_cast<unsigned>(BundleKind::Full)
+            && results.getSignOffs().size() <= maximumSignOffs && results.getDigest().size() <= maximumTextBytes,
+        "bundle answer is out of range");
+    answer.kind = static_cast<BundleKind>(results.getKind());
+    answer.version = results.getVersion();
+    answer.digest = textOf(results.getDigest());
+    answer.content = textOf(results.getContent());
+    for (const auto& signOff : results.getSignOffs())
+        answer.signOffs.push_back({ textOf(signOff.getSigner()), textOf(signOff.getSignature()) });
+    return answer;
+}
+
+} // namespace
+
+class PeerClient::Implementation : private kj::TaskSet::ErrorHandler {
+public:
+    Implementation(asio::io_context& clientContext, PeerClientSettings clientSettings, Random clientRandom)
+        : context(clientContext)
+        , settings(std::move(clientSettings))
+        , random(clientRandom)
+        , tasks(*this)
+    {
+    }
+
+    /// Runs \a send with the authenticated peer and passes its result on.
+    template <typename T, typename Send>
+    void call(const HostPort& address, milliseconds deadline, PeerCallback<T> callback, Send send)
+    {
+        const auto shared = std::make_shared<PeerCallback<T>>(std::move(callback));
+        const Result<SharedConnection> obtained = this->obtain(address);
+        if (!isOk(obtained)) {
+            this->tasks.add(kj::evalLater([shared, error = errorOf(obtained)] { (*shared)(Result<T>(error)); }));
+            return;
+        }
+        const SharedConnection connection = valueOf(obtained);
+        ++connection->callsUnderWay;
+        auto ended = kj::defer([connection] { --connection->callsUnderWay; });
+        auto answered
+            = KJ_ASSERT_NONNULL(connection->ready).addBranch().then([connection, send = std::move(send)]() mutable {
+                  return send(KJ_ASSERT_NONNULL(connection->peer));
+              });
+        auto late = delayFor(this->context, deadline).then([]() -> kj::Promise<T> {
+            return failure(ResultCode::PeerUnreachable, "deadline has passed");
+        });
+        this->tasks.add(answered.exclusiveJoin(kj::mv(late))
+                            .then([shared](T&& value) { (*shared)(Result<T>(std::move(value))); },
+                                [this, shared, address, connection](kj::Exception&& exception) {
+                                    const Error error = errorFrom(exception);
+                                    // A connection that is lost or silent is not used again.
+                                    if (error.code == ResultCode::PeerUnreachable && this->drop(address, connection)
+                                        && connection->peer == nullptr)
+                                        this->delayReconnect(address); // It never became ready.
+                                    (*shared)(Result<T>(error));
+                                })
+                            .attach(kj::mv(ended)));
+    }
+
+    std::size_t connectionCount() const { return this->connections.size(); }
+
+private:
+    /// The open connection to \a address, or one that is being opened.
+    Result<SharedConnection> obtain(const HostPort& address)
+    {
+        const std::string key = address.text();
+        const TimePoint now = Clock::now();
+        const auto found = this->connections.find(key);
+        if (found != this->connections.end()) {
+            found->second->lastUse = now;
+            return found->second;
+        }
+        const auto backoff = this->backoffs.find(key);
+        if (backoff != this->backoffs.end() && now < backoff->second.until)
+            return makeError(ResultCode::PeerUnreachable, "waits before it connects to {} again", key);
+        if (!this->makeRoom())
+            return makeError(ResultCode::PeerUnreachable, "all connections are in use");
+        auto connection = std::make_shared<Connection>();
+        connection->lastUse = now;
+        this->connections[key] = connection;
+        auto late = delayFor(this->context, this->settings.connectTimeout).then([]() -> kj::Promise<void> {
+            return failure(ResultCode::PeerUnreachable, "connecting took too long");
+        });
+        // The promise is owned by the connection, so it refers to it weakly.
+        const std::weak_ptr<Connection> weak = connection;
+        connection->ready = this->open(address, connection)
+                                .exclusiveJoin(kj::mv(late))
+                                .then([this, key] { this->backoffs.erase(key); },
+                                    [this, address, weak](kj::Exception&& exception) {
+                                        this->delayReconnect(address);
+                                        this->drop(address, weak.lock());
+                                        kj::throwFatalException(kj::mv(exception));
+                                    })
+                                .fork();
+        return connection;
+    }
+
+    /// Connects, agrees on a version and authenticates both ways.
+    kj::Promise<void> open(const HostPort& address, const SharedConnection& connection)
+    {
+        // The promise is owned by the connection, so it holds it by a plain pointer.
+        Connection* target = connection.get();
+        const std::string nonce = makeNonce();
+        return kj::newAdaptedPromise<kj::Own<AsioStream>, Connector>(this->context, address)
+            .then([this, target, nonce](kj::Own<AsioStream>&& stream) {
+                target->open = kj::heap<OpenConnection>(kj::mv(stream));
+                auto gate = target->open->gate();
+                auto request = gate.helloRequest();
+                request.setMinimumVersion(minimumRpcVersion);
+                request.setMaximumVersion(maximumRpcVersion);
+                request.setNonce(dataOf(nonce));
+                request.setName(this->settings.self.name);
+                request.setIncarnation(this->settings.self.incarnation);
+                return request.send().then(
+                    [this, nonce, gate](capnp::Response<wire::Gate::HelloResults>&& hello) mutable {
+                        return this->authenticate(gate, nonce, hello);
+                    });
+            })
+            .then([target](capnp::Response<wire::Gate::AuthenticateResults>&& results) -> kj::Promise<void> {
+                if (results.getCode() != 0)
+                    return failure(ResultCode::PeerBadAuthenticator, "the peer refused the proof");
+                target->peer = results.getPeer();
+                return kj::READY_NOW;
+            });
+    }
+
+    kj::Promise<capnp::Response<wire::Gate::AuthenticateResults>> authenticate(
+        wire::Gate::Client& gate, const std::string& nonce, wire::Gate::HelloResults::Reader hello)
+    {
+        const std::uint16_t version = hello.getVersion();
+        if (hello.getCode() != 0 || version < minimumRpcVersion || version > maximumRpcVersion)
+            return failure(ResultCode::PeerVersion, "the peer speaks no common version");
+        const std::string serverNonce = textOf(hello.getNonce());
+        const std::string expected = makeProof(this->settings.key, Side::Server, version, nonce, serverNonce);
+        if (!isSameProof(expected, textOf(hello.getProof())))
+            return failure(ResultCode::PeerBadAuthenticator, "the proof of the peer is wrong");
+        auto request = gate.authenticateRequest();
+        request.setProof(dataOf(makeProof(this->settings.key, Side::Client, version, nonce, serverNonce)));
+        return request.send();
+    }
+
+    /// Closes the connection that was unused for longest, when the limit is reached and one is unused.
+    bool makeRoom()
+    {
+        if (this->connections.size() < this->settings.maximumConnections)
+            return true;
+        auto oldest = this->connections.end();
+        for (auto it = this->connections.begin(); it != this->connections.end(); ++it) {
+            if (it->second->callsUnderWay > 0)
+                continue;
+            if (oldest == this->connections.end() || it->second->lastUse < oldest->second->lastUse)
+                oldest = it;
+        }
+        if (oldest == this->connections.end())
+            return false;
+        this->retire(oldest->second);
+        this->connections.erase(oldest);
+        return true;
+    }
+
+    /// Destroys a connection outside of its own promises.
+    void retire(SharedConnection connection)
+    {
+        this->tasks.add(kj::evalLater([connection = std::move(connection)] {}));
+    }
+
+    /// Forgets \a connection, unless another one has taken its place.
+    bool drop(const HostPort& address, const SharedConnection& connection)
+    {
+        const auto found = this->connections.find(address.text());
+        if (found == this->connections.end() || found->second != connection)
+            return false;
+        this->retire(std::move(found->second));
+        this->connections.erase(found);
+        return true;
+    }
+
+    void delayReconnect(const HostPort& address)
+    {
+        constexpr unsigned maximumDoublings = 10;
+        Backoff& backoff = this->backoffs[address.text()];
+        const unsigned doublings = std::min(backoff.failures++, maximumDoublings);
+        const milliseconds longest
+            = std::min(this->settings.firstBackoff * (1U << doublings), this->settings.longestBackoff);
+        // Half of the time is random, so that instances do not return to a restarted peer together.
+        const double share = 0.5 + 0.5 * randomUnit(this->random);
+        backoff.until
+            = Clock::now() + milliseconds(static_cast<std::int64_t>(static_cast<double>(longest.count()) * share));
+    }
+
+    void taskFailed(kj::Exception&&) override { }
+
+    asio::io_context& context;
+    PeerClientSettings settings;
+    Random random;
+    std::map<std::string, SharedConnection> connections;
+    std::map<std::string, Backoff> backoffs;
+    kj::TaskSet tasks; ///< Destroyed first, because its calls use the connections.
+};
+
+PeerClient::PeerClient(asio::io_context& context, PeerClientSettings settings, Random random)
+    : implementation(std::make_unique<Implementation>(context, std::move(settings), random))
+{
+}
+
+PeerClient::~PeerClient() = default;
+
+void PeerClient::getBundle(const HostPort& peer, std::uint64_t haveVersion, const std::string& haveDigest,
+    milliseconds deadline, PeerCallback<BundleAnswer> callback)
+{
+    this->implementation->call<BundleAnswer>(
+        peer, deadline, std::move(callback), [haveVersion, haveDigest](wire::Peer::Client& client) {
+            auto request = client.getBundleRequest();
+            request.setHaveVersion(haveVersion);
+            request.setHaveDigest(dataOf(haveDigest));
+            return request.send().then(
+                [](capnp::Response<wire::Peer::GetBundleResults>&& results) { return readBundle(results); });
+        });
+}
+
+void PeerClient::announce(const HostPort& peer, std::uint64_t version, const std::string& digest, milliseconds deadline,
+    PeerCallback<std::monostate> callback)
+{
+    this->implementation->call<std::monostate>(
+        peer, deadline, std::move(callback), [version, digest](wire::Peer::Client& client) {
+            auto request = client.announceRequest();
+            request.setVersion(version);
+            request.setDigest(dataOf(digest));
+            return request.send().then(
+                [](capnp::Response<wire::Peer::AnnounceResults>&&) { return std::monostate {}; });
+        });
+}
+
+void PeerClient::reportCrash(
+    const HostPort& peer, const CrashReport& report, milliseconds deadline, PeerCallback<std::monostate> callback)
+{
+    this->implementation->call<std::monostate>(
+        peer, deadline, std::move(callback), [report](wire::Peer::Client& client) {
+            auto request = client.reportCrashRequest();
+            request.setService(report.service);
+            request.setServer(report.server);
+            request.setFingerprint(dataOf(report.fingerprint));
+            request.setWeight(report.weight);
+            return request.send().then(
+                [](capnp::Response<wire::Peer::ReportCrashResults>&&) { return std::monostate {}; });
+        });
+}
+
+void PeerClient::status(
+    const HostPort& peer, const std::string& content, milliseconds deadline, PeerCallback<std::string> callback)
+{
+    this->implementation->call<std::string>(peer, deadline, std::move(callback), [content](wire::Peer::Client& client) {
+        auto request = client.statusRequest();
+        request.setContent(dataOf(content));
+        return request.send().then([](capnp::Response<wire::Peer::StatusResults>&& results) {
+            KJ_REQUIRE(results.getContent().size() <= maximumStatusBytes, "status is too long");
+            return textOf(results.getContent());
+        });
+    });
+}
+
+std::size_t PeerClient::connectionCount() const { return this->implementation->connectionCount(); }
+
+} // namespace clementinefall::peers
--- /dev/null
+++ b/src/libs/peers/peerclient.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/random.h"
+#include "membership/messagecodec.h"
+#include "peers/peermessages.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace clementinefall::peers {
+
+struct PeerClientSettings {
+    membership::ClusterKey key {};
+    PeerIdentity self;
+    std::size_t maximumConnections = 16;
+    milliseconds connectTimeout { 1000 }; ///< Connection, version and authentication together.
+    milliseconds firstBackoff { 100 };
+    milliseconds longestBackoff { 10'000 };
+};
+
+template <typename T> using PeerCallback = std::function<void(Result<T>)>;
+
+/// Calls other entry instances. Connections are opened on the first call, shared, bounded in number, and opened again
+/// after a failure with jittered exponential backoff; a call during the backoff fails at once. Each callback runs
+/// exactly once on the control thread, unless the client is destroyed before. Errors: PeerUnreachable (refused, lost,
+/// too late, backoff or limit), PeerBadAuthenticator, PeerVersion, PeerBadMessage.
+class PeerClient {
+public:
+    PeerClient(boost::asio::io_context& context, PeerClientSettings settings, Random random);
+    ~PeerClient();
+    PeerClient(const PeerClient&) = delete;
+    PeerClient& operator=(const PeerClient&) = delete;
+
+    /// Each call ends within \a deadline, connecting included.
+    void getBundle(const HostPort& peer, std::uint64_t haveVersion, const std::string& haveDigest,
+        milliseconds deadline, PeerCallback<BundleAnswer> callback);
+    void announce(const HostPort& peer, std::uint64_t version, const std::string& digest, milliseconds deadline,
+        PeerCallback<std::monostate> callback);
+    void reportCrash(
+        const HostPort& peer, const CrashReport& report, milliseconds deadline, PeerCallback<std::monostate> callback);
+    void status(
+        const HostPort& peer, const std::string& content, milliseconds deadline, PeerCallback<std::string> callback);
+
+    std::size_t connectionCount() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace clementinefall::peers
--- /dev/null
+++ b/src/libs/peers/peerserver.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "membership/messagecodec.h"
+#include "peers/peermessages.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace clementinefall::peers {
+
+struct PeerServerSettings {
+    HostPort address; ///< Port 0 takes a free one.
+    membership::ClusterKey key {};
+    std::size_t maximumConnections = 128;
+    /// A connection that has not authenticated by then is closed.
+    milliseconds authenticationTimeout { 2000 };
+    /// Connections without a call for this long are closed, so that silent ones do not fill the limit.
+    milliseconds idleTimeout { 60'000 };
+};
+
+/// Accepts RPC connections of other entry instances. Runs and is destroyed on the thread of a ControlLoop.
+class PeerServer {
+public:
+    PeerServer(boost::asio::io_context& context, PeerServerSettings settings, PeerHandlers handlers);
+    ~PeerServer();
+    PeerServer(const PeerServer&) = delete;
+    PeerServer& operator=(const PeerServer&) = delete;
+
+    /// Errors: SettingsBadAddress when the address cannot be bound.
+    Status listen();
+
+    std::uint16_t port() const;
+    std::size_t connectionCount() const;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> implementation;
+};
+
+} // namespace clementinefall::peers
--- /dev/null
+++ b/src/libs/peers/tst_peerrpc.cpp
@@ -0,0 +1,192 @@
+#include "peers/controlloop.h"
+#include "peers/peerclient.h"
+#include "peers/peerserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace clementinefall;
+using namespace clementinefall::peers;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds deadline { 5000 };
+
+struct Fixture {
+    Fixture()
+    {
+        this->settings.address = { "127.0.0.1", 0 };
+        this->settings.key.fill(3);
+        this->handlers.getBundle = [this](std::uint64_t version, const std::string&) {
+            BundleAnswer answer = this->stored;
+            if (version == answer.version)
+                answer = { BundleKind::None, version, answer.digest, {}, {} };
+            return answer;
+        };
+        this->handlers.announce = [this](const PeerIdentity& peer, std::uint64_t version, const std::string&) {
+            this->announced = { peer.name, version };
+        };
+        this->handlers.reportCrash = [this](const PeerIdentity&, const CrashReport& report) { this->crash = report; };
+        this->handlers.status = [](const PeerIdentity&, const std::string& content) { return "seen " + content; };
+        this->stored
+            = { BundleKind::Full, 9, std::string("\0\xff", 2), std::string(900'000, 'b'), { { "ana", "sig" } } };
+    }
+
+    PeerClientSettings clientSettings() const
+    {
+        PeerClientSettings result;
+        result.key = this->settings.key;
+        result.self = { "entry-1", 77 };
+        result.firstBackoff = milliseconds(50);
+        return result;
+    }
+
+    void start()
+    {
+        this->server = std::make_unique<PeerServer>(this->context, this->settings, this->handlers);
+        REQUIRE(isOk(this->server->listen()));
+        this->address = { "127.0.0.1", this->server->port() };
+    }
+
+    /// Runs the loop until \a call has its answer.
+    template <typename T> Result<T> ask(const std::function<void(PeerCallback<T>)>& call)
+    {
+        std::optional<Result<T>> answer;
+        call([&](Result<T> result) {
+            answer = std::move(result);
+            this->loop.stop();
+        });
+        this->loop.run();
+        return *answer;
+    }
+
+    Result<std::string> status(PeerClient& client, milliseconds limit = deadline)
+    {
+        return this->ask<std::string>(
+            [&](PeerCallback<std::string> done) { client.status(this->address, "hello", limit, std::move(done)); });
+    }
+
+    void runFor(milliseconds time)
+    {
+        asio::steady_timer timer(this->context, time);
+        timer.async_wait([this](const boost::system::error_code&) { this->loop.stop(); });
+        this->loop.run();
+    }
+
+    asio::io_context context;
+    ControlLoop loop { this->context };
+    PeerServerSettings settings;
+    PeerHandlers handlers;
+    BundleAnswer stored;
+    std::optional<std::pair<std::string, std::uint64_t>> announced;
+    std::optional<CrashReport> crash;
+    std::unique_ptr<PeerServer> server;
+    HostPort address;
+};
+
+} // namespace
+
+TEST_CASE("Calls between entry instances over loopback")
+{
+    Fixture fixture;
+    fixture.start();
+    PeerClient client(fixture.context, fixture.clientSettings(), Random(1));
+
+    SECTION("all calls use one connection and carry their data unchanged")
+    {
+        const auto bundle = fixture.ask<BundleAnswer>([&](PeerCallback<BundleAnswer> done) {
+            client.getBundle(fixture.address, 8, "d", deadline, std::move(done));
+        });
+        REQUIRE(isOk(bundle));
+        CHECK(valueOf(bundle) == fixture.stored);
+        const auto same = fixture.ask<BundleAnswer>([&](PeerCallback<BundleAnswer> done) {
+            client.getBundle(fixture.address, 9, "d", deadline, std::move(done));
+        });
+        CHECK(valueOf(same).kind == BundleKind::None);
+        CHECK(isOk(fixture.ask<std::monostate>([&](PeerCallback<std::monostate> done) {
+            client.announce(fixture.address, 12, "e", deadline, std::move(done));
+        })));
+        CHECK(fixture.announced == std::pair<std::string, std::uint64_t>("entry-1", 12));
+        const CrashReport report { "tillgate", "t-3", std::string("\x01\0", 2), 0.5 };
+        CHECK(isOk(fixture.ask<std::monostate>([&](PeerCallback<std::monostate> done) {
+            client.reportCrash(fixture.address, report, deadline, std::move(done));
+        })));
+        CHECK(fixture.crash == report);
+        CHECK(valueOf(fixture.status(client)) == "seen hello");
+        CHECK(fixture.server->connectionCount() == 1);
+    }
+
+    SECTION("a report that is out of range is refused and not passed on")
+    {
+        const auto result = fixture.ask<std::monostate>([&](PeerCallback<std::monostate> done) {
+            client.reportCrash(fixture.address, { "s", "t", "f", 7.0 }, deadline, std::move(done));
+        });
+        CHECK(errorOf(result).code == ResultCode::PeerBadMessage);
+        CHECK_FALSE(fixture.crash);
+    }
+
+    SECTION("after the peer has restarted, calls fail, back off and then work again")
+    {
+        REQUIRE(isOk(fixture.status(client)));
+        fixture.server.reset();
+        CHECK(errorOf(fixture.status(client)).code == ResultCode::PeerUnreachable);
+        CHECK(errorOf(fixture.status(client)).code == ResultCode::PeerUnreachable);
+        const auto waiting = fixture.status(client);
+        CHECK(errorOf(waiting).message.find("waits before") != std::string::npos);
+        fixture.settings.address.port = fixture.address.port;
+        fixture.start();
+        fixture.runFor(milliseconds(120));
+        CHECK(isOk(fixture.status(client)));
+    }
+}
+
+TEST_CASE("Calls from an instance without the cluster key are refused")
+{
+    Fixture fixture;
+    fixture.start();
+    PeerClientSettings settings = fixture.clientSettings();
+    settings.key[0] ^= 1U;
+    PeerClient client(fixture.context, settings, Random(2));
+    CHECK(errorOf(fixture.status(client)).code == ResultCode::PeerBadAuthenticator);
+}
+
+TEST_CASE("Connections that never answer, never speak or speak something else")
+{
+    Fixture fixture;
+
+    SECTION("a peer that accepts but stays silent costs no more than the deadline")
+    {
+        asio::ip::tcp::acceptor silent(fixture.context, { asio::ip::make_address("127.0.0.1"), 0 });
+        fixture.address = { "127.0.0.1", silent.local_endpoint().port() };
+        PeerClient client(fixture.context, fixture.clientSettings(), Random(3));
+        const TimePoint start = Clock::now();
+        CHECK(errorOf(fixture.status(client, milliseconds(200))).code == ResultCode::PeerUnreachable);
+        CHECK(Clock::now() - start < seconds(3));
+        CHECK(client.connectionCount() == 0);
+    }
+
+    SECTION("connections that do not authenticate are bounded and closed")
+    {
+        fixture.settings.maximumConnections = 2;
+        fixture.settings.authenticationTimeout = milliseconds(150);
+        fixture.start();
+        std::vector<asio::ip::tcp::socket> sockets;
+        for (int i = 0; i < 4; ++i) {
+            sockets.emplace_back(fixture.context);
+            sockets.back().connect({ asio::ip::make_address("127.0.0.1"), fixture.address.port });
+        }
+        asio::write(sockets[0], asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        fixture.runFor(milliseconds(60));
+        CHECK(fixture.server->connectionCount() <= 2);
+        fixture.runFor(milliseconds(300));
+        CHECK(fixture.server->connectionCount() == 0);
+        PeerClient client(fixture.context, fixture.clientSettings(), Random(4));
+        CHECK(isOk(fixture.status(client)));
+    }
+}
