--- a/src/libs/peers/peerclient.cpp
+++ b/src/libs/peers/peerclient.cpp
@@ -4,10 +4,10 @@
 #include "peers/challenge.h"
 #include "peers/controlloop.h"
 #include "peers/peers.capnp.h"
+#include "peers/rpchelpers.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <capnp/rpc-twoparty.h>
-#include <kj/debug.h>
 
 #include <algorithm>
 #include <map>
@@ -17,20 +17,14 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using Internal::dataOf;
+using Internal::require;
+using Internal::textOf;
 
 namespace {
 
 constexpr std::string_view codePrefix = "code=";
 
-std::string textOf(capnp::Data::Reader data) { return { reinterpret_cast<const char*>(data.begin()), data.size() }; }
-
-std::string textOf(capnp::Text::Reader text) { return { text.begin(), text.size() }; }
-
-capnp::Data::Reader dataOf(const std::string& bytes)
-{
-    return { reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size() };
-}
-
 /// Failure with a result code, on its way through promises.
 kj::Exception failure(ResultCode code, std::string_view what)
 {
@@ -120,8 +114,8 @@
 
 struct Connection {
     kj::Own<OpenConnection> open;
-    kj::Maybe<wire::Peer::Client> peer;
-    kj::Maybe<kj::ForkedPromise<void>> ready;
+    std::optional<wire::Peer::Client> peer;
+    std::optional<kj::ForkedPromise<void>> ready;
     unsigned callsUnderWay = 0;
     TimePoint lastUse;
 };
@@ -136,7 +130,7 @@
 BundleAnswer readBundle(wire::Peer::GetBundleResults::Reader results)
 {
     BundleAnswer answer;
-    KJ_REQUIRE(static_cast<unsigned>(results.getKind()) <= static_cast<unsigned>(BundleKind::Full)
+    require(static_cast<unsigned>(results.getKind()) <= static_cast<unsigned>(BundleKind::Full)
             && results.getSignOffs().size() <= maximumSignOffs && results.getDigest().size() <= maximumTextBytes,
         "bundle answer is out of range");
     answer.kind = static_cast<BundleKind>(results.getKind());
@@ -150,7 +144,7 @@
 
 } // namespace
 
-class PeerClient::Implementation : private kj::TaskSet::ErrorHandler {
+class PeerClient::Implementation final : private kj::TaskSet::ErrorHandler {
 public:
     Implementation(asio::io_context& clientContext, PeerClientSettings clientSettings, Random clientRandom)
         : context(clientContext)
@@ -173,10 +167,8 @@
         const SharedConnection connection = valueOf(obtained);
         ++connection->callsUnderWay;
         auto ended = kj::defer([connection] { --connection->callsUnderWay; });
-        auto answered
-            = KJ_ASSERT_NONNULL(connection->ready).addBranch().then([connection, send = std::move(send)]() mutable {
-                  return send(KJ_ASSERT_NONNULL(connection->peer));
-              });
+        auto answered = connection->ready->addBranch().then(
+            [connection, send = std::move(send)]() mutable { return send(*connection->peer); });
         auto late = delayFor(this->context, deadline).then([]() -> kj::Promise<T> {
             return failure(ResultCode::PeerUnreachable, "deadline has passed");
         });
@@ -186,7 +178,7 @@
                                     const Error error = errorFrom(exception);
                                     // A connection that is lost or silent is not used again.
                                     if (error.code == ResultCode::PeerUnreachable && this->drop(address, connection)
-                                        && connection->peer == nullptr)
+                                        && !connection->peer)
                                         this->delayReconnect(address); // It never became ready.
                                     (*shared)(Result<T>(error));
                                 })
@@ -389,7 +381,7 @@
         auto request = client.statusRequest();
         request.setContent(dataOf(content));
         return request.send().then([](capnp::Response<wire::Peer::StatusResults>&& results) {
-            KJ_REQUIRE(results.getContent().size() <= maximumStatusBytes, "status is too long");
+            require(results.getContent().size() <= maximumStatusBytes, "status is too long");
             return textOf(results.getContent());
         });
     });
--- a/src/libs/peers/peerserver.cpp
+++ b/src/libs/peers/peerserver.cpp
@@ -4,13 +4,13 @@
 #include "peers/challenge.h"
 #include "peers/controlloop.h"
 #include "peers/peers.capnp.h"
+#include "peers/rpchelpers.h"
 
 #include "base/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <capnp/rpc-twoparty.h>
-#include <kj/debug.h>
 
 #include <algorithm>
 #include <optional>
@@ -19,18 +19,12 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using Internal::dataOf;
+using Internal::require;
+using Internal::textOf;
 
 namespace {
 
-std::string textOf(capnp::Data::Reader data) { return { reinterpret_cast<const char*>(data.begin()), data.size() }; }
-
-std::string textOf(capnp::Text::Reader text) { return { text.begin(), text.size() }; }
-
-capnp::Data::Reader dataOf(const std::string& bytes)
-{
-    return { reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size() };
-}
-
 /// What the objects of one connection share. Objects may outlive the connection while a call is pending.
 struct Session {
     const PeerServerSettings* settings = nullptr;
@@ -71,7 +65,7 @@
     {
         this->session->lastCall = Clock::now();
         const auto parameters = context.getParams();
-        KJ_REQUIRE(parameters.getDigest().size() <= maximumTextBytes, "digest is too long");
+        require(parameters.getDigest().size() <= maximumTextBytes, "digest is too long");
         this->session->handlers->announce(this->session->peer, parameters.getVersion(), textOf(parameters.getDigest()));
         return kj::READY_NOW;
     }
@@ -82,10 +76,10 @@
         const auto parameters = context.getParams();
         CrashReport report { textOf(parameters.getService()), textOf(parameters.getServer()),
             textOf(parameters.getFingerprint()), parameters.getWeight() };
-        KJ_REQUIRE(report.service.size() <= maximumTextBytes && report.server.size() <= maximumTextBytes
+        require(report.service.size() <= maximumTextBytes && report.server.size() <= maximumTextBytes
                 && report.fingerprint.size() <= maximumTextBytes,
             "crash report is too long");
-        KJ_REQUIRE(report.weight > 0 && report.weight <= 1, "weight is out of range");
+        require(report.weight > 0 && report.weight <= 1, "weight is out of range");
         this->session->handlers->reportCrash(this->session->peer, report);
         return kj::READY_NOW;
     }
@@ -93,7 +87,7 @@
     kj::Promise<void> status(StatusContext context) override
     {
         this->session->lastCall = Clock::now();
-        KJ_REQUIRE(context.getParams().getContent().size() <= maximumStatusBytes, "status is too long");
+        require(context.getParams().getContent().size() <= maximumStatusBytes, "status is too long");
         const std::string answer
             = this->session->handlers->status(this->session->peer, textOf(context.getParams().getContent()));
         context.getResults().setContent(dataOf(answer));
@@ -121,7 +115,7 @@
             results.setCode(static_cast<std::uint16_t>(number(ResultCode::PeerVersion)));
             return kj::READY_NOW;
         }
-        KJ_REQUIRE(parameters.getNonce().size() == nonceBytes && parameters.getName().size() <= maximumTextBytes,
+        require(parameters.getNonce().size() == nonceBytes && parameters.getName().size() <= maximumTextBytes,
             "hello is out of range");
         this->session->peer = { textOf(parameters.getName()), parameters.getIncarnation() };
         this->clientNonce = textOf(parameters.getNonce());
@@ -187,8 +181,8 @@
 
 } // namespace
 
-class PeerServer::Implementation : public std::enable_shared_from_this<Implementation>,
-                                   private kj::TaskSet::ErrorHandler {
+class PeerServer::Implementation final : public std::enable_shared_from_this<Implementation>,
+                                         private kj::TaskSet::ErrorHandler {
 public:
     Implementation(asio::io_context& serverContext, PeerServerSettings serverSettings, PeerHandlers serverHandlers)
         : context(serverContext)
--- /dev/null
+++ b/src/libs/peers/tst_dissemination.cpp
@@ -0,0 +1,154 @@
+#include "peers/fakespread.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace clementinefall;
+using namespace clementinefall::peers;
+using membership::FakeFleet;
+using membership::MemberState;
+
+namespace {
+
+constexpr milliseconds spreadBound { 5000 }; // guarantee P8 of the design page
+
+} // namespace
+
+TEST_CASE("A bundle that one instance holds reaches all within the bound")
+{
+    const std::size_t count = GENERATE(12, 50, 200, 750);
+    FakeSpread spread(count, 31 + count, 0.01);
+    spread.publish(count / 2, 1);
+    const auto time = spread.timeToAll(1, spreadBound);
+    INFO(count);
+    CHECK(time.has_value());
+    // Each instance fetches about once and announces once.
+    std::size_t fetches = 0;
+    for (const FakeSpread::Node& node : spread.nodes) {
+        fetches += node.fetchesSent;
+        CHECK(node.announcesSent <= announcePeers);
+    }
+    CHECK(fetches <= count * 5 / 4);
+}
+
+TEST_CASE("Bundles under failures")
+{
+    constexpr std::size_t count = 50;
+    FakeSpread spread(count, 77, 0.01);
+
+    SECTION("a newer bundle overtakes an older one that is still spreading")
+    {
+        spread.publish(3, 1);
+        spread.runFor(milliseconds(300));
+        spread.publish(44, 2);
+        CHECK(spread.timeToAll(2, spreadBound).has_value());
+        spread.publish(10, 1);
+        CHECK(spread.countHolding(2) == count);
+    }
+
+    SECTION("sources that never answer are passed over for others")
+    {
+        for (std::size_t node = 0; node < count; ++node)
+            spread.refusesFetch[node] = node % 3 == 0;
+        spread.publish(1, 1);
+        CHECK(spread.timeToAll(1, seconds(10)).has_value());
+    }
+
+    SECTION("an instance that was cut off catches up by the versions in probes")
+    {
+        spread.fleet.isCut = [](std::size_t from, std::size_t to) { return from == 7 || to == 7; };
+        spread.publish(1, 1);
+        spread.runFor(seconds(20));
+        CHECK(spread.countHolding(1) == count - 1);
+        spread.fleet.isCut = [](std::size_t, std::size_t) { return false; };
+        CHECK(spread.timeToAll(1, seconds(15)).has_value());
+    }
+}
+
+TEST_CASE("Steps of the spreading")
+{
+    Random random(9);
+    const TimePoint now { seconds(100) };
+    MemberTable table
+        = membership::makeMemberTable({ "entry-0", "zone-0", FakeFleet::addressOf(0), 1 }, {}, now, random);
+    for (std::size_t i = 1; i < 12; ++i) {
+        membership::addMember(table,
+            { "entry-" + std::to_string(i), "zone-" + std::to_string(i % 3), FakeFleet::addressOf(i), 1 + i }, now);
+    }
+    SpreadState state;
+    SpreadStep step;
+
+    SECTION("one fetch at a time; after the timeout another source is asked and a late failure is ignored")
+    {
+        announced(state, table, now, random, FakeFleet::addressOf(1), 5, step);
+        REQUIRE(step.fetch);
+        CHECK(step.fetch->from == FakeFleet::addressOf(1));
+        SpreadStep second;
+        announced(state, table, now, random, FakeFleet::addressOf(2), 5, second);
+        CHECK_FALSE(second.fetch);
+        tickSpread(state, table, now + milliseconds(999), random, second);
+        CHECK_FALSE(second.fetch);
+        tickSpread(state, table, now + milliseconds(1000), random, second);
+        REQUIRE(second.fetch);
+        CHECK(second.fetch->from == FakeFleet::addressOf(2));
+        SpreadStep late;
+        fetchFailed(state, table, now + milliseconds(1100), random, step.fetch->id, late);
+        CHECK_FALSE(late.fetch);
+        CHECK(state.fetch->id == second.fetch->id);
+    }
+
+    SECTION("an older or equal version is not fetched")
+    {
+        adopted(state, table, random, 5, "d", step);
+        announced(state, table, now, random, FakeFleet::addressOf(1), 5, step);
+        CHECK_FALSE(step.fetch);
+    }
+
+    SECTION("adopting announces to three healthy peers in different zones")
+    {
+        findMember(table, FakeFleet::addressOf(4))->record.state = MemberState::Suspect;
+        for (int round = 0; round < 50; ++round) {
+            const auto peers = pickAnnouncePeers(table, random);
+            REQUIRE(peers.size() == announcePeers);
+            std::set<std::string> seen;
+            for (const HostPort& peer : peers) {
+                CHECK(peer != FakeFleet::addressOf(4));
+                seen.insert(findMember(table, peer)->record.zone);
+            }
+            CHECK(seen.size() == 3);
+        }
+    }
+}
+
+TEST_CASE("Watchers of the platform")
+{
+    membership::FakeFleet fleet(36, 6, 5);
+    fleet.introduceAll();
+    const auto watchers = [&] {
+        std::map<std::string, std::set<std::size_t>> result;
+        for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+            if (fleet.nodes[i].running && isWatcher(fleet.nodes[i].table))
+                result[fleet.nodes[i].table.self.zone].insert(i);
+        }
+        return result;
+    };
+    const auto before = watchers();
+    CHECK(before.size() == 6);
+    for (const auto& [zone, members] : before)
+        CHECK(members.size() == watchersPerZone);
+
+    SECTION("a dead watcher is replaced by one of its zone, and no other zone changes")
+    {
+        const std::size_t dead = *before.at("zone-2").begin();
+        fleet.kill(dead);
+        fleet.runFor(seconds(10));
+        auto after = watchers();
+        CHECK(after.at("zone-2").size() == watchersPerZone);
+        CHECK_FALSE(after.at("zone-2").contains(dead));
+        after["zone-2"] = before.at("zone-2");
+        CHECK(after == before);
+    }
+}
