--- a/src/app/entry/bundlewatcher.cpp
+++ b/src/app/entry/bundlewatcher.cpp
@@ -1,12 +1,10 @@
 #include "bundlewatcher.h"
 
 #include "base/log.h"
-#include "bundle/bundlecodec.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/json.hpp>
 
 namespace clementinefall::entry {
 
@@ -15,77 +13,153 @@
 /// Length of one watch call. The platform counts each call, so a longer watch is cheaper.
 constexpr milliseconds watchWait { 25'000 };
 
-/// Version in the accepted record; nothing when the record cannot be read.
-std::optional<std::uint64_t> acceptedVersion(const std::string& record)
-{
-    boost::json::error_code error;
-    const boost::json::value document = boost::json::parse(record, error);
-    if (error || !document.is_object() || !document.get_object().contains("version"))
-        return std::nullopt;
-    const auto version = document.get_object().at("version").to_number<std::uint64_t>(error);
-    return error ? std::nullopt : std::optional(version);
-}
+/// Rounds of reading the objects that a view names; a view names at most two levels of objects.
+constexpr unsigned maximumReadRounds = 4;
 
 } // namespace
 
-BundleWatcher::BundleWatcher(std::shared_ptr<platform::PlatformClient> platformClient, Adopt onAdopt)
+BundleWatcher::BundleWatcher(std::shared_ptr<platform::PlatformClient> platformClient,
+    bundle::AdoptionSettings adoptionSettings, InForceChanged onChange)
     : client(std::move(platformClient))
-    , adopt(std::move(onAdopt))
+    , settings(std::move(adoptionSettings))
+    , changed(std::move(onChange))
 {
 }
 
 void BundleWatcher::start(asio::any_io_executor executor)
 {
-    asio::co_spawn(executor, this->run(this->shared_from_this()), asio::detached);
+    for (const char* kind : { "bundles", "rollouts" })
+        asio::co_spawn(executor, this->follow(this->shared_from_this(), kind), asio::detached);
 }
 
-Awaitable<void> BundleWatcher::run(std::shared_ptr<BundleWatcher> self)
+Awaitable<void> BundleWatcher::follow(std::shared_ptr<BundleWatcher> self, std::string kind)
 {
     std::uint64_t revision = 0;
     unsigned failures = 0;
     while (!self->stopped) {
-        const auto changed = co_await self->client->watch("bundles", revision, watchWait);
+        const auto listed = co_await self->client->watch(kind, revision, watchWait);
         // g++ 12 frees temporaries twice when a conditional expression contains co_await.
-        Status fetched = okStatus();
-        if (isOk(changed))
-            fetched = co_await self->fetchAccepted();
-        else
-            fetched = errorOf(changed);
-        if (isOk(fetched)) {
-            revision = valueOf(changed).revision;
+        Status refreshed = okStatus();
+        if (!isOk(listed))
+            refreshed = errorOf(listed);
+        else if (valueOf(listed).revision != revision)
+            refreshed = co_await self->refresh();
+        if (isOk(refreshed)) {
+            revision = valueOf(listed).revision;
             failures = 0;
             continue;
         }
         ++failures;
-        logWarning("platform_call_failed", { { "error", errorOf(fetched).text() }, { "failures", failures } });
+        logWarning("platform_call_failed", { { "error", errorOf(refreshed).text() }, { "failures", failures } });
         asio::steady_timer timer(co_await asio::this_coro::executor, platform::backoffDelay(failures, self->random));
         co_await timer.async_wait(useTuple);
     }
 }
 
-Awaitable<Status> BundleWatcher::fetchAccepted()
+Awaitable<Status> BundleWatcher::readObject(std::string key, Objects& objects)
 {
-    const auto record = co_await this->client->read("bundles", "accepted");
-    if (!isOk(record) && errorOf(record).code == ResultCode::PlatformNotFound)
+    const auto slash = key.find('/');
+    const auto read = co_await this->client->read(key.substr(0, slash), key.substr(slash + 1));
+    if (isOk(read)) {
+        objects[key] = bundle::StoredObject { key, valueOf(read).version, valueOf(read).value };
         co_return okStatus();
-    if (!isOk(record))
-        co_return errorOf(record);
-    const auto version = acceptedVersion(valueOf(record).value);
-    if (!version)
-        co_return makeError(ResultCode::PlatformBadAnswer, "bundles/accepted cannot be read");
-    if (*version <= this->adoptedVersion)
-        co_return okStatus();
-    const auto content = co_await this->client->read("bundles", fmt::format("{}", *version));
-    if (!isOk(content))
-        co_return errorOf(content);
-    Result<bundle::Bundle> parsed = bundle::parseBundle(valueOf(content).value);
-    if (!isOk(parsed))
-        co_return errorOf(parsed);
-    if (valueOf(parsed).version != *version)
-        co_return makeError(ResultCode::PlatformBadAnswer, "bundles/{} holds another version", *version);
-    this->adoptedVersion = *version;
-    this->adopt(std::make_shared<const bundle::Bundle>(std::move(valueOf(parsed))));
+    }
+    if (errorOf(read).code != ResultCode::PlatformNotFound)
+        co_return errorOf(read);
+    objects[key] = bundle::StoredObject { key, 0, {} };
     co_return okStatus();
 }
 
+Awaitable<Result<bundle::RolloutView>> BundleWatcher::readView(Objects& objects)
+{
+    std::set<std::string> missing { std::string(bundle::acceptedKey), std::string(bundle::rolloutKey) };
+    const bundle::ObjectReader reader = [&objects, &missing](const std::string& key) {
+        const auto found = objects.find(key);
+        if (found != objects.end())
+            return found->second;
+        missing.insert(key);
+        return bundle::StoredObject { key, 0, {} };
+    };
+    for (unsigned round = 0; round < maximumReadRounds; ++round) {
+        const std::set<std::string> wanted = std::move(missing);
+        missing.clear();
+        for (const std::string& key : wanted) {
+            const Status read = co_await this->readObject(key, objects);
+            if (!isOk(read))
+                co_return errorOf(read);
+        }
+        Result<bundle::RolloutView> view = bundle::viewRollout(
+            objects[std::string(bundle::acceptedKey)], objects[std::string(bundle::rolloutKey)], reader);
+        if (!isOk(view) || missing.empty())
+            co_return view;
+    }
+    co_return makeError(ResultCode::PlatformBadAnswer, "the rollout objects name too many others");
+}
+
+Awaitable<Status> BundleWatcher::refresh()
+{
+    Objects objects;
+    Result<bundle::RolloutView> view = co_await this->readView(objects);
+    if (!isOk(view))
+        co_return errorOf(view);
+    if (valueOf(view).accepted) {
+        const Status offered = co_await this->offer(*valueOf(view).accepted, valueOf(view).policyTrail, objects);
+        if (!isOk(offered))
+            co_return offered;
+    }
+    if (valueOf(view).staged)
+        co_return co_await this->offer(*valueOf(view).staged, valueOf(view).policyTrail, objects);
+    this->apply(bundle::endStaging(this->adoption, valueOf(view).rolloutRevision));
+    co_return okStatus();
+}
+
+Awaitable<Status> BundleWatcher::offer(
+    bundle::Candidate candidate, std::vector<std::uint64_t> policyTrail, Objects& objects)
+{
+    bundle::AdoptionStep step = bundle::adoptBundle(this->adoption, candidate, this->settings);
+    if (step.outcome == bundle::AdoptionOutcome::Refused && !policyTrail.empty()) {
+        const Status read = co_await this->readTrail(std::move(policyTrail), candidate, objects);
+        if (!isOk(read))
+            co_return read;
+        step = bundle::adoptBundle(this->adoption, candidate, this->settings);
+    }
+    this->apply(std::move(step));
+    co_return okStatus();
+}
+
+Awaitable<Status> BundleWatcher::readTrail(
+    std::vector<std::uint64_t> versions, bundle::Candidate& candidate, Objects& objects)
+{
+    const bundle::ObjectReader reader = [&objects](const std::string& key) { return objects[key]; };
+    for (const std::uint64_t version : versions) {
+        if (version <= this->adoption.acceptedVersion || version >= candidate.content.bundle->version)
+            continue;
+        for (const std::string& key : { bundle::bundleKey(version), bundle::signOffsKey(version) }) {
+            const Status read = co_await this->readObject(key, objects);
+            if (!isOk(read))
+                co_return read;
+        }
+        const auto entry = bundle::readSignedBundle(version, reader);
+        if (!isOk(entry))
+            co_return errorOf(entry);
+        if (valueOf(entry))
+            candidate.policyTrail.push_back(*valueOf(entry));
+    }
+    co_return okStatus();
+}
+
+void BundleWatcher::apply(bundle::AdoptionStep step)
+{
+    if (step.error)
+        logWarning("bundle_not_adopted", { { "error", step.error->text() } });
+    const bool isChanged = step.state.inForce() != this->adoption.inForce();
+    this->adoption = std::move(step.state);
+    if (!isChanged || !this->adoption.inForce())
+        return;
+    logInfo("bundle_adopted",
+        { { "version", this->adoption.inForce()->version }, { "accepted", this->adoption.acceptedVersion },
+            { "staged", this->adoption.stagedVersion } });
+    this->changed(this->adoption.inForce());
+}
+
 } // namespace clementinefall::entry
--- a/src/app/entry/bundlewatcher.h
+++ b/src/app/entry/bundlewatcher.h
@@ -1,32 +1,50 @@
 #pragma once
 
 #include "base/random.h"
-#include "bundle/bundle.h"
+#include "bundle/adoption.h"
+#include "bundle/rolloutsteps.h"
 #include "platform/platformclient.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace clementinefall::entry {
 
-/// Follows the accepted bundle in the platform. Runs on the control thread until stop().
+/// Follows the accepted and the staged bundle in the platform and adopts them. Runs on the control thread until
+/// stop(). It adopts nothing that adoptBundle() refuses, whatever the platform answers.
 class BundleWatcher : public std::enable_shared_from_this<BundleWatcher> {
 public:
-    using Adopt = std::function<void(std::shared_ptr<const bundle::Bundle>)>;
+    /// Called when the bundle in force has changed.
+    using InForceChanged = std::function<void(std::shared_ptr<const bundle::Bundle>)>;
 
-    BundleWatcher(std::shared_ptr<platform::PlatformClient> platformClient, Adopt onAdopt);
+    BundleWatcher(std::shared_ptr<platform::PlatformClient> platformClient, bundle::AdoptionSettings adoptionSettings,
+        InForceChanged onChange);
 
     void start(asio::any_io_executor executor);
     void stop() { this->stopped = true; }
 
+    const bundle::AdoptionState& state() const { return this->adoption; }
+
 private:
-    Awaitable<void> run(std::shared_ptr<BundleWatcher> self);
-    Awaitable<Status> fetchAccepted();
+    using Objects = std::map<std::string, bundle::StoredObject>;
+
+    /// Watches one kind of object and refreshes after each change.
+    Awaitable<void> follow(std::shared_ptr<BundleWatcher> self, std::string kind);
+    Awaitable<Status> refresh();
+    Awaitable<Status> readObject(std::string key, Objects& objects);
+    Awaitable<Result<bundle::RolloutView>> readView(Objects& objects);
+    Awaitable<Status> offer(bundle::Candidate candidate, std::vector<std::uint64_t> policyTrail, Objects& objects);
+    Awaitable<Status> readTrail(std::vector<std::uint64_t> versions, bundle::Candidate& candidate, Objects& objects);
+    void apply(bundle::AdoptionStep step);
 
     std::shared_ptr<platform::PlatformClient> client;
-    Adopt adopt;
+    bundle::AdoptionSettings settings;
+    InForceChanged changed;
     Random random = systemSeededRandom();
-    std::uint64_t adoptedVersion = 0;
+    bundle::AdoptionState adoption;
     bool stopped = false;
 };
 
--- a/src/app/entry/entryinstance.cpp
+++ b/src/app/entry/entryinstance.cpp
@@ -1,5 +1,6 @@
 #include "entryinstance.h"
 
+#include "admin/platformstore.h"
 #include "base/log.h"
 #include "http/target.h"
 
@@ -13,6 +14,8 @@
 
 constexpr milliseconds tickInterval { 1000 };
 constexpr milliseconds stopPollInterval { 20 };
+constexpr double adminCallsPerSecond = 10.0;
+constexpr double adminCallBurst = 60.0;
 
 requests::InstanceIdentity identityFor(const EntrySettings& settings)
 {
@@ -71,12 +74,7 @@
     if (!isOk(admin))
         return admin;
 
-    platform::ClientSettings clientSettings;
-    clientSettings.address = this->settings.platform;
-    this->platformClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
-    this->watcher = std::make_shared<BundleWatcher>(
-        this->platformClient, [this](std::shared_ptr<const bundle::Bundle> bundle) { this->adopt(std::move(bundle)); });
-    this->watcher->start(this->control.get_executor());
+    this->startControl();
     asio::co_spawn(this->control, this->tick(), asio::detached);
     this->signals.async_wait([this](beast::error_code error, int) {
         if (!error)
@@ -91,6 +89,59 @@
     return okStatus();
 }
 
+void EntryInstance::startControl()
+{
+    platform::ClientSettings clientSettings;
+    clientSettings.address = this->settings.platform;
+    this->platformClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
+    const bundle::AdoptionSettings adoptionSettings { this->settings.zone, this->settings.trustedRoots };
+    this->watcher = std::make_shared<BundleWatcher>(this->platformClient, adoptionSettings,
+        [this](std::shared_ptr<const bundle::Bundle> bundle) { this->adopt(std::move(bundle)); });
+    this->watcher->start(this->control.get_executor());
+    // Operators' commands come in bursts and must not wait behind the instance's own calls, or take their budget.
+    clientSettings.callsPerSecond = adminCallsPerSecond;
+    clientSettings.burst = adminCallBurst;
+    const auto adminClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
+    const admin::AdminSettings adminSettings { this->settings.trustedRoots, this->settings.bootstrapTokenDigest };
+    this->adminService = std::make_shared<admin::AdminService>(
+        std::make_shared<admin::PlatformStore>(adminClient), adminSettings, this->adminHooks());
+}
+
+admin::InstanceHooks EntryInstance::adminHooks()
+{
+    admin::InstanceHooks hooks;
+    hooks.acceptedBundle = [this] { return this->watcher->state().accepted; };
+    hooks.status = [this] { return this->statusReport(); };
+    hooks.quarantined = [] { return boost::json::array(); };
+    hooks.release = [](const std::string&) { return false; };
+    hooks.explain = [](const std::map<std::string, std::string>&) -> Result<boost::json::object> {
+        return makeError(ResultCode::AdminNotFound, "this release explains no decisions yet");
+    };
+    hooks.now = [] { return WallClock::now(); };
+    return hooks;
+}
+
+boost::json::object EntryInstance::statusReport() const
+{
+    const requests::TrafficCounters& counters = this->state.counters;
+    const bundle::AdoptionState& adoption = this->watcher->state();
+    return {
+        { "instance", this->settings.name },
+        { "zone", this->settings.zone },
+        { "incarnation", fmt::format("{:016x}", this->state.self.incarnation) },
+        { "acceptedVersion", adoption.acceptedVersion },
+        { "stagedVersion", adoption.stagedVersion },
+        { "stopping", this->stopRequested },
+        { "lookups", counters.lookups.load() },
+        { "requests", counters.requests.load() },
+        { "answered", counters.answered.load() },
+        { "notRun", counters.notRun.load() },
+        { "unknown", counters.unknown.load() },
+        { "extraAttempts", counters.extraAttempts.load() },
+        { "platformCalls", this->platformClient->callCount() },
+    };
+}
+
 void EntryInstance::run() { this->control.run(); }
 
 void EntryInstance::adopt(std::shared_ptr<const bundle::Bundle> bundle)
@@ -102,7 +153,6 @@
     if (routing->snapshot->ownInstance)
         routing->incarnations[*routing->snapshot->ownInstance] = this->state.self.incarnation;
     this->state.publish(std::move(routing));
-    logInfo("bundle_adopted", { { "version", bundle->version } });
 }
 
 Awaitable<void> EntryInstance::tick()
@@ -151,6 +201,10 @@
 {
     const auto target = http::parseTarget(exchange->header().target());
     const auto routing = this->state.routing();
+    if (target && target->path.starts_with("/v1/admin")) {
+        co_await admin::serveAdmin(this->adminService, std::move(exchange));
+        co_return;
+    }
     http::Response response;
     if (target && target->path == "/healthz")
         response = http::jsonResponse(200, "{\"healthy\":true}\n");
--- a/src/app/entry/entryinstance.h
+++ b/src/app/entry/entryinstance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admin/adminservice.h"
 #include "bundlewatcher.h"
 #include "entrysettings.h"
 #include "http/server.h"
@@ -43,6 +44,9 @@
     void adopt(std::shared_ptr<const bundle::Bundle> bundle);
     Awaitable<void> tick();
     Awaitable<void> stopGracefully();
+    void startControl();
+    admin::InstanceHooks adminHooks();
+    boost::json::object statusReport() const;
     Awaitable<void> handleAdmin(std::shared_ptr<http::Exchange> exchange);
 
     EntrySettings settings;
@@ -54,6 +58,7 @@
     std::shared_ptr<http::Server> adminServer;
     std::shared_ptr<platform::PlatformClient> platformClient;
     std::shared_ptr<BundleWatcher> watcher;
+    std::shared_ptr<admin::AdminService> adminService;
     asio::signal_set signals;
     bool stopRequested = false;
 };
--- a/src/app/entry/entrysettings.cpp
+++ b/src/app/entry/entrysettings.cpp
@@ -21,6 +21,8 @@
     settings.peer = reader.address("listen", "peer");
     settings.admin = reader.address("listen", "admin");
     settings.platform = reader.address("platform", "address");
+    settings.trustedRoots = reader.list("trust", "root_keys");
+    settings.bootstrapTokenDigest = reader.text("trust", "bootstrap_token_digest", "");
     settings.trafficThreads = static_cast<unsigned>(reader.integer("traffic", "threads", 2, 1, 64));
     settings.maximumConnections
         = static_cast<unsigned>(reader.integer("traffic", "maximum_connections", 8192, 1, 1'000'000));
--- a/src/app/entry/entrysettings.h
+++ b/src/app/entry/entrysettings.h
@@ -17,6 +17,8 @@
     HostPort peer;
     HostPort admin;
     HostPort platform;
+    std::vector<std::string> trustedRoots; ///< Hex public keys, see bundle::adoptBundle().
+    std::string bootstrapTokenDigest; ///< See admin::AdminSettings.
     unsigned trafficThreads = 2;
     unsigned maximumConnections = 8192;
     unsigned maximumConnectionsPerPeer = 4096;
