--- a/src/libs/steering/benchfleet.cpp
+++ b/src/libs/steering/benchfleet.cpp
@@ -309,10 +309,7 @@
         request.instance = at;
         request.incarnation = instance.incarnation;
         request.slot = *admission.server;
-        const auto& pool = instance.table.pools[given.service].servers;
-        const auto position = std::find(pool.begin(), pool.end(), request.slot) - pool.begin();
-        request.server = this->routes->services[given.service]
-                             .serversByZone[*instance.snapshot->ownZone][static_cast<std::size_t>(position)];
+        request.server = instance.table.servers[request.slot].route;
         this->deliver(request);
         return true;
     }
--- a/src/libs/steering/routing.cpp
+++ b/src/libs/steering/routing.cpp
@@ -1,5 +1,7 @@
 #include "steering/routing.h"
 
+#include "steering/sharehistory.h"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -139,6 +141,19 @@
     }
 }
 
+void setOwnSlots(RoutingSnapshot& snapshot)
+{
+    if (!snapshot.ownZone)
+        return;
+    const auto& peers = snapshot.zones[*snapshot.ownZone].instances;
+    const auto own
+        = static_cast<std::size_t>(std::find(peers.begin(), peers.end(), *snapshot.ownInstance) - peers.begin());
+    for (ServerRoute& server : snapshot.servers) {
+        if (server.zone == *snapshot.ownZone)
+            server.ownSlots = static_cast<unsigned>(divideSlots(snapshot, server)[own]);
+    }
+}
+
 /// Weighted random choice of a few instances from a group, in one pass: the smallest of -ln(u) / weight.
 class GroupSample {
 public:
@@ -264,6 +279,14 @@
 
 } // namespace
 
+std::vector<std::uint64_t> divideSlots(const RoutingSnapshot& snapshot, const ServerRoute& server)
+{
+    std::vector<std::string_view> holders;
+    for (const Index instance : snapshot.zones[server.zone].instances)
+        holders.emplace_back(snapshot.instances[instance].name);
+    return divideShares(server.slots, snapshot.services[server.service].name + '/' + server.name, holders);
+}
+
 std::optional<Index> find(const NameIndex& index, std::string_view name)
 {
     const auto found = index.find(name);
@@ -286,6 +309,7 @@
     snapshot->ownInstance = find(snapshot->instanceIndex, ownInstance);
     if (snapshot->ownInstance)
         snapshot->ownZone = snapshot->instances[*snapshot->ownInstance].zone;
+    setOwnSlots(*snapshot);
     return snapshot;
 }
 
--- a/src/libs/steering/routing.h
+++ b/src/libs/steering/routing.h
@@ -29,6 +29,8 @@
     unsigned slots = 0;
     unsigned maximumConnections = 0;
     bool isLeaving = false; ///< Drained itself or in a drained zone.
+    /// Part of the slots that belongs to the own instance; 0 in other zones. What it may use now is up to ShareHistory.
+    unsigned ownSlots = 0;
 };
 
 struct InstanceRoute {
@@ -113,6 +115,9 @@
 /// service or location are left out; validation reports them before a bundle is accepted.
 std::shared_ptr<const RoutingSnapshot> buildSnapshot(const bundle::Bundle& bundle, std::string_view ownInstance);
 
+/// Division of the slots of \a server among the instances of its zone, in the order of ZoneRoute::instances.
+std::vector<std::uint64_t> divideSlots(const RoutingSnapshot& snapshot, const ServerRoute& server);
+
 /// Position of \a name, if it is known.
 std::optional<Index> find(const NameIndex& index, std::string_view name);
 
--- a/src/libs/steering/servertable.cpp
+++ b/src/libs/steering/servertable.cpp
@@ -221,6 +221,7 @@
                     startCold(*state, now);
             }
             state->isKnown = true;
+            state->route = index;
             state->address = server.address;
             state->slots = server.slots;
             state->heldUntil.reserve(server.slots);
@@ -234,16 +235,14 @@
 {
     ShareTable shares;
     shares.version = snapshot.version;
-    std::vector<std::string_view> holders;
-    for (const Index instance : snapshot.zones[zone].instances)
-        holders.emplace_back(snapshot.instances[instance].name);
+    const auto& peers = snapshot.zones[zone].instances;
     for (const ServerRoute& server : snapshot.servers) {
         if (server.zone != zone)
             continue;
         shares.items.push_back(itemName(snapshot, server));
-        const auto amounts = divideShares(server.slots, shares.items.back(), holders);
-        for (std::size_t at = 0; at < holders.size(); ++at)
-            shares.holders[std::string(holders[at])].push_back(amounts[at]);
+        const auto amounts = divideSlots(snapshot, server);
+        for (std::size_t at = 0; at < peers.size(); ++at)
+            shares.holders[snapshot.instances[peers[at]].name].push_back(amounts[at]);
     }
     return shares;
 }
--- a/src/libs/steering/servertable.h
+++ b/src/libs/steering/servertable.h
@@ -33,7 +33,8 @@
 
 /// State of one backend server as this instance sees it.
 struct ServerState {
-    std::string name;
+    std::string name; ///< `<service>/<server>`.
+    Index route = 0; ///< Position in the servers of the snapshot last applied.
     HostPort address;
     unsigned slots = 0; ///< Of the server.
     unsigned share = 0; ///< Slots that this instance may use.
@@ -94,7 +95,8 @@
 /// the instance confirm the newest version to its zone.
 bool isWithinPledge(const ServerTable& table, const ShareHistory& history, TimePoint now);
 
-/// Records that \a source says at \a now that \a server is leaving or, with \a isLeaving false, that it is not.
+/// Records for the server with the name `<service>/<server>` that \a source says at \a now that \a server is leaving
+/// or, with \a isLeaving false, that it is not.
 void recordDrain(ServerTable& table, std::string_view server, DrainSource source, bool isLeaving, TimePoint now);
 
 /// Records a report of the server's load (part of its slots in use) that was measured at \a measuredAt. Reports are
--- a/src/libs/steering/tst_routing.cpp
+++ b/src/libs/steering/tst_routing.cpp
@@ -86,6 +86,8 @@
         CHECK(std::none_of(names.begin(), names.end(), [](const auto& name) { return name.starts_with("norte-a"); }));
         CHECK(drained->servers[4].isLeaving);
         CHECK(drained->services[0].slotsByZone[4] == 0);
+        CHECK(drained->servers[4].ownSlots == 0);
+        CHECK(drained->servers[0].ownSlots + buildSnapshot(bundle, "sur-a2")->servers[0].ownSlots == 3);
     }
 }
 
