Start the share property from a version that can be used

Its first version gave all four holders zero, so there was nothing to use; the check on the sum held.

Change: the first version's amounts are 1 to 12 instead of 0 to 11. The check that shares were used stays as it was, in each case.

Conclusion: the fault was in the test data.

--- a/src/libs/steering/tst_sharehistory.cpp
+++ b/src/libs/steering/tst_sharehistory.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::size_t holderCount = 4;
 
-/// Versions of one cap with random amounts. The first one has all holders; others may lack some if \a isRemoving.
+/// Versions of one cap with random amounts. The first one has all holders with
+/// something to use; others may lack some if \a isRemoving.
 std::vector<ShareTable> randomTables(Random& random, bool isRemoving)
 {
     std::vector<ShareTable> tables;
@@ -22,7 +23,7 @@
         ShareTable table { version, { "cap" }, {} };
         for (std::size_t holder = 0; holder < holderCount; ++holder) {
             if (!isRemoving || version == 1 || randomBelow(random, 5) > 0)
-                table.holders[std::to_string(holder)] = { randomBelow(random, 12) };
+                table.holders[std::to_string(holder)] = { (version == 1 ? 1 : 0) + randomBelow(random, 12) };
         }
         tables.push_back(table);
     }
