Join the fleet: membership, bundle spreading, slot shares and the server table

Cause: a killed instance stayed in lookups, a bundle reached an instance only from the platform, and the number of requests on a backend server was not limited by shares of its slots. Change: fleet link (UDP membership, RPC for bundles, announcements and share status), watchers chosen per zone, server table with admission, ramps, drains from three sources and slot shares in the request path. Work leaves its zone only within its region, since shift caps are not spent on this path yet. Before: lookups listed dead instances for good. Conclusion: not yet measured.

--- a/scripts/write_settings.py
+++ b/scripts/write_settings.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Writes one settings file for each entry instance of a bundle.
 
-Usage: write_settings.py BUNDLE OUTPUT_FOLDER PLATFORM_ADDRESS ROOT_KEYS BOOTSTRAP_TOKEN_DIGEST [TRACE_TARGET]
+Usage: write_settings.py BUNDLE OUTPUT_FOLDER PLATFORM_ADDRESS ROOT_KEYS BOOTSTRAP_TOKEN_DIGEST CLUSTER_KEY [TRACE_TARGET]
 """
 import json
 import pathlib
@@ -18,7 +18,8 @@
             f"[listen]\ntraffic = {instance['traffic']}\npeer = {instance['peer']}\nadmin = {instance['admin']}\n"
             f"[platform]\naddress = {sys.argv[3]}\n"
             f"[trust]\nroot_keys = {sys.argv[4]}\nbootstrap_token_digest = {sys.argv[5]}\n"
-            f"[trace]\ntarget = {sys.argv[6] if len(sys.argv) > 6 else ''}\n"
+            f"[cluster]\nkey = {sys.argv[6]}\n"
+            f"[trace]\ntarget = {sys.argv[7] if len(sys.argv) > 7 else ''}\n"
         )
         (folder / f"{instance['name']}.ini").write_text(text)
 
--- a/src/app/entry/bundlewatcher.cpp
+++ b/src/app/entry/bundlewatcher.cpp
@@ -13,6 +13,9 @@
 /// Length of one watch call. The platform counts each call, so a longer watch is cheaper.
 constexpr milliseconds watchWait { 25'000 };
 
+/// How often an instance that does not watch the platform asks whether it should.
+constexpr milliseconds watchConditionInterval { 1000 };
+
 /// Rounds of reading the objects that a view names; a view names at most two levels of objects.
 constexpr unsigned maximumReadRounds = 4;
 
@@ -37,6 +40,11 @@
     std::uint64_t revision = 0;
     unsigned failures = 0;
     while (!self->stopped) {
+        if (!self->shouldWatch()) {
+            asio::steady_timer pause(co_await asio::this_coro::executor, watchConditionInterval);
+            co_await pause.async_wait(useTuple);
+            continue;
+        }
         const auto listed = co_await self->client->watch(kind, revision, watchWait);
         // g++ 12 frees temporaries twice when a conditional expression contains co_await.
         Status refreshed = okStatus();
@@ -109,7 +117,7 @@
     }
     if (valueOf(view).staged)
         co_return co_await this->offer(*valueOf(view).staged, valueOf(view).policyTrail, objects);
-    this->apply(bundle::endStaging(this->adoption, valueOf(view).rolloutRevision));
+    this->apply(bundle::endStaging(this->adoption, valueOf(view).rolloutRevision), nullptr);
     co_return okStatus();
 }
 
@@ -123,10 +131,22 @@
             co_return read;
         step = bundle::adoptBundle(this->adoption, candidate, this->settings);
     }
-    this->apply(std::move(step));
+    this->apply(std::move(step), &candidate);
     co_return okStatus();
 }
 
+Status BundleWatcher::offerFromPeer(const bundle::Candidate& candidate)
+{
+    bundle::AdoptionStep step = bundle::adoptBundle(this->adoption, candidate, this->settings);
+    const bool isAdopted = step.outcome == bundle::AdoptionOutcome::Adopted;
+    const std::optional<Error> error = step.error;
+    this->apply(std::move(step), &candidate);
+    if (isAdopted)
+        return okStatus();
+    return error.value_or(
+        makeError(ResultCode::BundleVersionNotNewer, "version {}", candidate.content.bundle->version));
+}
+
 Awaitable<Status> BundleWatcher::readTrail(
     std::vector<std::uint64_t> versions, bundle::Candidate& candidate, Objects& objects)
 {
@@ -148,10 +168,12 @@
     co_return okStatus();
 }
 
-void BundleWatcher::apply(bundle::AdoptionStep step)
+void BundleWatcher::apply(bundle::AdoptionStep step, const bundle::Candidate* candidate)
 {
     if (step.error)
         logWarning("bundle_not_adopted", { { "error", step.error->text() } });
+    if (candidate && step.state.acceptedVersion > this->adoption.acceptedVersion)
+        this->signOffs = candidate->content.signOffs;
     const bool isChanged = step.state.inForce() != this->adoption.inForce();
     this->adoption = std::move(step.state);
     if (!isChanged || !this->adoption.inForce())
--- a/src/app/entry/bundlewatcher.h
+++ b/src/app/entry/bundlewatcher.h
@@ -27,6 +27,14 @@
     void stop() { this->stopped = true; }
 
     const bundle::AdoptionState& state() const { return this->adoption; }
+    /// Sign-offs of the accepted bundle in force, for peers that fetch it.
+    const std::vector<bundle::SignOff>& acceptedSignOffs() const { return this->signOffs; }
+
+    /// Offers an accepted bundle that a peer sent. Errors: as adoptBundle(), and BundleVersionNotNewer.
+    Status offerFromPeer(const bundle::Candidate& candidate);
+
+    /// While it returns false, the platform is not watched; peers bring the bundles then.
+    void setWatchCondition(std::function<bool()> condition) { this->shouldWatch = std::move(condition); }
 
 private:
     using Objects = std::map<std::string, bundle::StoredObject>;
@@ -38,13 +46,15 @@
     Awaitable<Result<bundle::RolloutView>> readView(Objects& objects);
     Awaitable<Status> offer(bundle::Candidate candidate, std::vector<std::uint64_t> policyTrail, Objects& objects);
     Awaitable<Status> readTrail(std::vector<std::uint64_t> versions, bundle::Candidate& candidate, Objects& objects);
-    void apply(bundle::AdoptionStep step);
+    void apply(bundle::AdoptionStep step, const bundle::Candidate* candidate);
 
     std::shared_ptr<platform::PlatformClient> client;
     bundle::AdoptionSettings settings;
     InForceChanged changed;
     Random random = systemSeededRandom();
     bundle::AdoptionState adoption;
+    std::vector<bundle::SignOff> signOffs;
+    std::function<bool()> shouldWatch = [] { return true; };
     bool stopped = false;
 };
 
--- a/src/app/entry/entryinstance.cpp
+++ b/src/app/entry/entryinstance.cpp
@@ -14,6 +14,9 @@
 
 constexpr milliseconds tickInterval { 1000 };
 constexpr milliseconds stopPollInterval { 20 };
+
+/// A leaving backend server gets no new work 3 s after the platform lists it.
+constexpr milliseconds listReadInterval { 2000 };
 constexpr double adminCallsPerSecond = 10.0;
 constexpr double adminCallBurst = 60.0;
 
@@ -35,6 +38,9 @@
 
 EntryInstance::~EntryInstance()
 {
+    if (this->fleet)
+        this->fleet->stop();
+    this->fleet.reset();
     for (const auto& runner : this->runners) {
         runner->context.stop();
         if (runner->runner.joinable())
@@ -74,7 +80,9 @@
     if (!isOk(admin))
         return admin;
 
-    this->startControl();
+    const Status controlStarted = this->startControl();
+    if (!isOk(controlStarted))
+        return controlStarted;
     asio::co_spawn(this->control, this->tick(), asio::detached);
     this->signals.async_wait([this](beast::error_code error, int) {
         if (!error)
@@ -89,8 +97,12 @@
     return okStatus();
 }
 
-void EntryInstance::startControl()
+Status EntryInstance::startControl()
 {
+    const Result<membership::ClusterKey> clusterKey = membership::parseClusterKey(this->settings.clusterKey);
+    if (!isOk(clusterKey))
+        return errorOf(clusterKey);
+    this->controlLoop = std::make_unique<peers::ControlLoop>(this->control);
     platform::ClientSettings clientSettings;
     clientSettings.address = this->settings.platform;
     this->platformClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
@@ -105,6 +117,22 @@
     const admin::AdminSettings adminSettings { this->settings.trustedRoots, this->settings.bootstrapTokenDigest };
     this->adminService = std::make_shared<admin::AdminService>(
         std::make_shared<admin::PlatformStore>(adminClient), adminSettings, this->adminHooks());
+
+    FleetLinkHandlers handlers;
+    handlers.membersChanged = [this] { this->publish(); };
+    handlers.superseded = [this] {
+        logError("superseded", { { "instance", this->settings.name } });
+        this->beginStop();
+    };
+    handlers.answerShareQuery
+        = [this](const steering::ShareQuery& query) { return this->state.answerShareQuery(query); };
+    handlers.shareStatusArrived
+        = [this](const steering::ShareStatus& status) { this->state.recordShareStatus(status, Clock::now()); };
+    const FleetLinkSettings linkSettings { this->settings.name, this->settings.zone, this->settings.peer,
+        this->state.self.incarnation, valueOf(clusterKey) };
+    this->fleet = std::make_unique<FleetLink>(this->control, this->watcher, linkSettings, std::move(handlers));
+    this->watcher->setWatchCondition([this] { return this->fleet && this->fleet->shouldWatchPlatform(); });
+    return this->fleet->start();
 }
 
 admin::InstanceHooks EntryInstance::adminHooks()
@@ -142,19 +170,69 @@
     };
 }
 
-void EntryInstance::run() { this->control.run(); }
+void EntryInstance::run() { this->controlLoop->run(); }
 
 void EntryInstance::adopt(std::shared_ptr<const bundle::Bundle> bundle)
 {
+    this->snapshot = steering::buildSnapshot(*bundle, this->settings.name);
+    if (this->snapshot->ownZone)
+        this->state.applyServers(*this->snapshot, *this->snapshot->ownZone, Clock::now());
+    this->fleet->bundleChanged(*bundle);
+    this->publish();
+}
+
+steering::MemberState EntryInstance::memberStateOf(const steering::InstanceRoute& instance) const
+{
+    if (instance.name == this->settings.name)
+        return this->stopRequested ? steering::MemberState::Leaving : steering::MemberState::Live;
+    const membership::Member* member = membership::findMemberByName(this->fleet->table(), instance.name);
+    // An instance that never answered is ranked last; it may not have been started yet.
+    if (!member)
+        return steering::MemberState::Suspect;
+    switch (member->record.state) {
+    case membership::MemberState::Live:
+        return steering::MemberState::Live;
+    case membership::MemberState::Suspect:
+        return steering::MemberState::Suspect;
+    case membership::MemberState::Leaving:
+        return steering::MemberState::Leaving;
+    case membership::MemberState::Dead:
+        break;
+    }
+    return steering::MemberState::Dead;
+}
+
+void EntryInstance::publish()
+{
+    if (!this->snapshot)
+        return;
     auto routing = std::make_shared<requests::PublishedRouting>();
-    routing->snapshot = steering::buildSnapshot(*bundle, this->settings.name);
-    routing->view = steering::makeFleetView(*routing->snapshot, steering::MemberState::Live);
-    routing->incarnations.assign(routing->snapshot->instances.size(), 0);
-    if (routing->snapshot->ownInstance)
-        routing->incarnations[*routing->snapshot->ownInstance] = this->state.self.incarnation;
+    routing->snapshot = this->snapshot;
+    routing->view = steering::makeFleetView(*this->snapshot, steering::MemberState::Live);
+    routing->incarnations.assign(this->snapshot->instances.size(), 0);
+    for (std::size_t i = 0; i < this->snapshot->instances.size(); ++i) {
+        const steering::InstanceRoute& instance = this->snapshot->instances[i];
+        routing->view.members[i] = this->memberStateOf(instance);
+        if (const membership::Member* member = membership::findMemberByName(this->fleet->table(), instance.name))
+            routing->incarnations[i] = member->record.incarnation;
+    }
+    if (this->snapshot->ownInstance)
+        routing->incarnations[*this->snapshot->ownInstance] = this->state.self.incarnation;
     this->state.publish(std::move(routing));
 }
 
+Awaitable<void> EntryInstance::refreshPlatformList()
+{
+    const Result<platform::InstanceList> list = co_await this->platformClient->instances();
+    if (!isOk(list))
+        co_return;
+    const TimePoint now = Clock::now();
+    for (const platform::ListedInstance& server : valueOf(list).backendServers) {
+        const bool isLeaving = server.state == platform::InstanceState::Leaving;
+        this->state.recordPlatformDrain(server.name, isLeaving, now);
+    }
+}
+
 Awaitable<void> EntryInstance::tick()
 {
     asio::steady_timer timer(this->control);
@@ -162,6 +240,13 @@
         timer.expires_after(tickInterval);
         co_await timer.async_wait(useTuple);
         const TimePoint now = Clock::now();
+        this->fleet->tick();
+        if (this->snapshot && this->snapshot->ownZone)
+            this->fleet->queryZone(this->state.tickServers(now));
+        if (now >= this->nextListRead) {
+            this->nextListRead = now + listReadInterval;
+            asio::co_spawn(this->control, this->refreshPlatformList(), asio::detached);
+        }
         {
             const std::scoped_lock lock(this->state.executionMutex);
             this->state.executions.expire(now);
@@ -176,6 +261,8 @@
     if (this->stopRequested)
         return;
     this->stopRequested = true;
+    this->fleet->leave();
+    this->publish();
     logInfo("stop_requested", { { "instance", this->settings.name } });
     asio::co_spawn(this->control, this->stopGracefully(), asio::detached);
 }
@@ -194,7 +281,7 @@
     logInfo("stopped", { { "requests_in_flight", this->trafficServer->activeExchanges() } });
     this->watcher->stop();
     this->adminServer->close();
-    this->control.stop();
+    this->controlLoop->stop();
 }
 
 Awaitable<void> EntryInstance::handleAdmin(std::shared_ptr<http::Exchange> exchange)
--- a/src/app/entry/entryinstance.h
+++ b/src/app/entry/entryinstance.h
@@ -3,7 +3,9 @@
 #include "admin/adminservice.h"
 #include "bundlewatcher.h"
 #include "entrysettings.h"
+#include "fleetlink.h"
 #include "http/server.h"
+#include "peers/controlloop.h"
 #include "requests/callerapi.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -42,9 +44,12 @@
     };
 
     void adopt(std::shared_ptr<const bundle::Bundle> bundle);
+    void publish();
+    steering::MemberState memberStateOf(const steering::InstanceRoute& instance) const;
+    Awaitable<void> refreshPlatformList();
     Awaitable<void> tick();
     Awaitable<void> stopGracefully();
-    void startControl();
+    Status startControl();
     admin::InstanceHooks adminHooks();
     boost::json::object statusReport() const;
     Awaitable<void> handleAdmin(std::shared_ptr<http::Exchange> exchange);
@@ -56,6 +61,10 @@
     std::vector<std::unique_ptr<TrafficRunner>> runners;
     std::shared_ptr<http::Server> trafficServer;
     std::shared_ptr<http::Server> adminServer;
+    std::unique_ptr<peers::ControlLoop> controlLoop;
+    std::unique_ptr<FleetLink> fleet;
+    std::shared_ptr<const steering::RoutingSnapshot> snapshot;
+    TimePoint nextListRead {};
     std::shared_ptr<platform::PlatformClient> platformClient;
     std::shared_ptr<BundleWatcher> watcher;
     std::shared_ptr<admin::AdminService> adminService;
--- a/src/app/entry/entrysettings.cpp
+++ b/src/app/entry/entrysettings.cpp
@@ -21,6 +21,7 @@
     settings.peer = reader.address("listen", "peer");
     settings.admin = reader.address("listen", "admin");
     settings.platform = reader.address("platform", "address");
+    settings.clusterKey = reader.requiredText("cluster", "key");
     settings.trustedRoots = reader.list("trust", "root_keys");
     settings.bootstrapTokenDigest = reader.text("trust", "bootstrap_token_digest", "");
     settings.trafficThreads = static_cast<unsigned>(reader.integer("traffic", "threads", 2, 1, 64));
--- a/src/app/entry/entrysettings.h
+++ b/src/app/entry/entrysettings.h
@@ -17,6 +17,7 @@
     HostPort peer;
     HostPort admin;
     HostPort platform;
+    std::string clusterKey; ///< 32 bytes in hex, shared by all entry instances; authenticates their messages.
     std::vector<std::string> trustedRoots; ///< Hex public keys, see bundle::adoptBundle().
     std::string bootstrapTokenDigest; ///< See admin::AdminSettings.
     unsigned trafficThreads = 2;
--- /dev/null
+++ b/src/app/entry/sharemessages.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "steering/sharehistory.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace clementinefall::entry {
+
+/// JSON forms of the share messages, carried by the peers' status call. The readers give nothing for a malformed text.
+std::string serializeShareQuery(const steering::ShareQuery& query);
+std::optional<steering::ShareQuery> parseShareQuery(std::string_view text);
+std::string serializeShareStatus(const steering::ShareStatus& status);
+std::optional<steering::ShareStatus> parseShareStatus(std::string_view text);
+
+} // namespace clementinefall::entry
--- a/src/libs/requests/requestsession.cpp
+++ b/src/libs/requests/requestsession.cpp
@@ -58,6 +58,8 @@
 /// Expected time for an exchange with a server of the zone; a retry with less time left would only add load.
 constexpr milliseconds shortestRetry { 20 };
 
+constexpr unsigned firstServerErrorStatus = 500;
+
 } // namespace
 
 RequestSession::RequestSession(TrafficState& trafficState, ConnectionPool& connectionPool,
@@ -408,38 +410,56 @@
 
 Awaitable<bool> RequestSession::makeOneAttempt()
 {
-    const steering::RoutingSnapshot& snapshot = *this->routing->snapshot;
-    const auto server = this->state.takeServer(snapshot, this->serviceIndex, *snapshot.ownZone, this->triedServers);
-    Attempt result;
-    if (server) {
-        this->triedServers.push_back(*server);
-        result = co_await this->attemptServer(*server);
+    const steering::ServiceRoute& route = this->routing->snapshot->services[this->serviceIndex];
+    auto taken = this->state.takeServer(this->serviceIndex, route.priority, this->triedServers, this->random);
+    if (auto* server = std::get_if<TrafficState::TakenServer>(&taken)) {
+        this->triedServers.push_back(server->slot);
+        const Attempt result = co_await this->attemptServer(*server);
         this->ends.push_back(result.end);
         co_return true;
     }
+    this->withoutAttempt = std::get<ResultCode>(taken);
     if (this->role == RequestRole::Executor)
         co_return false;
     const auto peer = this->choosePeer();
     if (!peer)
         co_return false;
     this->triedPeers.push_back(*peer);
-    result = co_await this->attemptPeer(*peer);
+    const Attempt result = co_await this->attemptPeer(*peer);
     this->ends.push_back(result.end);
     co_return true;
 }
 
-Awaitable<RequestSession::Attempt> RequestSession::attemptServer(steering::Index server)
+steering::AttemptOutcome RequestSession::outcomeForTable(AttemptEnd end, TimePoint startedAt) const
+{
+    using Kind = steering::AttemptOutcome::Kind;
+    steering::AttemptOutcome outcome;
+    outcome.latency = Clock::now() - startedAt;
+    outcome.deadline = this->deadline;
+    if (end == AttemptEnd::Answered)
+        outcome.kind
+            = this->attempt->answer().header.result_int() >= firstServerErrorStatus ? Kind::ServerError : Kind::Success;
+    else if (end == AttemptEnd::ShedByServer)
+        outcome.kind = Kind::Shed;
+    else
+        outcome.kind = isProvenNotRun(end) ? Kind::NotRun : Kind::Unknown;
+    return outcome;
+}
+
+Awaitable<RequestSession::Attempt> RequestSession::attemptServer(TrafficState::TakenServer server)
 {
-    const steering::ServerRoute& route = this->routing->snapshot->servers[server];
     Span attemptSpan { childOf(this->span.context, this->random), this->span.context.spanId, "attempt",
-        WallClock::now(), {}, { { "server", route.name } } };
-    this->attempt = std::make_unique<UpstreamAttempt>(this->pool, route.address, this->deadline);
+        WallClock::now(), {}, { { "server", server.name } } };
+    const TimePoint startedAt = Clock::now();
+    this->attempt = std::make_unique<UpstreamAttempt>(this->pool, server.address, this->deadline);
     RequestHeader header = this->headerForServer(attemptSpan.context);
     const AttemptEnd end = co_await this->attempt->run(std::move(header), this->body);
-    this->state.releaseServer(route.name);
     if (this->attempt->isNewConnection())
         ++this->state.counters.newConnections;
     const Attempt result = this->classify(end, false);
+    const bool isDraining = end == AttemptEnd::Answered
+        && !http::fieldValue(this->attempt->answer().header, HeaderName::draining).empty();
+    this->state.releaseServer(this->serviceIndex, server, this->outcomeForTable(result.end, startedAt), isDraining);
     attemptSpan.end = WallClock::now();
     attemptSpan.attributes.emplace_back("result", fmt::format("{}", number(codeOfAttempt(result.end))));
     this->state.spans.write(attemptSpan);
@@ -449,6 +469,7 @@
 std::optional<steering::Index> RequestSession::choosePeer()
 {
     const steering::RoutingSnapshot& snapshot = *this->routing->snapshot;
+    const steering::Index ownRegion = snapshot.zones[*snapshot.ownZone].region;
     const auto ranked = steering::rankEntryInstances(
         snapshot, this->serviceIndex, *snapshot.ownZone, this->routing->view, Clock::now(), this->random);
     for (const steering::Index index : ranked) {
@@ -456,7 +477,9 @@
         const bool isTried
             = std::find(this->triedPeers.begin(), this->triedPeers.end(), index) != this->triedPeers.end();
         const bool hasServers = !snapshot.services[this->serviceIndex].serversByZone[instance.zone].empty();
-        if (instance.zone != *snapshot.ownZone && !isTried && hasServers)
+        // Work that leaves the region would need a share of a shift cap, which this path does not spend yet.
+        const bool isInRegion = snapshot.zones[instance.zone].region == ownRegion;
+        if (index != snapshot.ownInstance && !isTried && hasServers && isInRegion)
             return index;
     }
     return std::nullopt;
--- a/src/libs/requests/requestsession.h
+++ b/src/libs/requests/requestsession.h
@@ -42,11 +42,12 @@
     /// Makes attempts until one is answered or no other may be made; returns the code to tell.
     Awaitable<ResultCode> makeAttempts(bool isIdempotent, bool retryAllowed);
     Awaitable<bool> makeOneAttempt();
-    Awaitable<Attempt> attemptServer(steering::Index server);
+    Awaitable<Attempt> attemptServer(TrafficState::TakenServer server);
     Awaitable<Attempt> attemptPeer(steering::Index instance);
     std::optional<steering::Index> choosePeer();
     http::RequestHeader headerForServer(const TraceContext& trace) const;
     http::RequestHeader headerForPeer(std::string_view hop, const TraceContext& trace) const;
+    steering::AttemptOutcome outcomeForTable(AttemptEnd end, TimePoint startedAt) const;
     Attempt classify(AttemptEnd end, bool isPeer) const;
 
     Awaitable<void> relayAnswer(ResultCode code);
@@ -76,7 +77,7 @@
     RequestBody body;
 
     std::vector<AttemptEnd> ends;
-    std::vector<steering::Index> triedServers;
+    std::vector<steering::ServerSlot> triedServers;
     std::vector<steering::Index> triedPeers;
     ResultCode withoutAttempt = ResultCode::NotRunNoCapacity;
     std::unique_ptr<UpstreamAttempt> attempt;
--- a/src/libs/requests/trafficstate.cpp
+++ b/src/libs/requests/trafficstate.cpp
@@ -1,34 +1,87 @@
 #include "requests/trafficstate.h"
 
-#include <algorithm>
-
 namespace clementinefall::requests {
 
-std::optional<steering::Index> TrafficState::takeServer(const steering::RoutingSnapshot& snapshot,
-    steering::Index service, steering::Index zone, const std::vector<steering::Index>& tried)
+namespace {
+
+/// A restarted instance waits this long for the status of zone members that never reported. They are dead or cut off;
+/// a cut-off one still uses its own slots only, so the wait protects against one that is slow to answer.
+constexpr seconds slotPresumeAfter { 10 };
+
+} // namespace
+
+TrafficState::TrafficState(InstanceIdentity identity, SpanSink& sink)
+    : self(std::move(identity))
+    , spans(sink)
+    , slotHistory(this->self.name, this->self.incarnation, Clock::now(), slotPresumeAfter)
+{
+    this->servers.usableFrom = Clock::now();
+}
+
+std::variant<TrafficState::TakenServer, ResultCode> TrafficState::takeServer(
+    steering::Index service, bundle::Priority priority, const std::vector<steering::ServerSlot>& tried, Random& random)
+{
+    const std::scoped_lock lock(this->serverMutex);
+    const steering::Admission admission
+        = steering::admit(this->servers, service, priority, tried, Clock::now(), random);
+    if (!admission.server)
+        return admission.refusal;
+    const steering::ServerState& server = this->servers.servers[*admission.server];
+    return TakenServer { *admission.server, server.name, server.address };
+}
+
+void TrafficState::releaseServer(
+    steering::Index service, const TakenServer& server, const steering::AttemptOutcome& outcome, bool isDraining)
+{
+    const std::scoped_lock lock(this->serverMutex);
+    const TimePoint now = Clock::now();
+    steering::recordOutcome(this->servers, service, server.slot, outcome, now);
+    if (outcome.kind == steering::AttemptOutcome::Kind::Success)
+        steering::recordDrain(this->servers, server.name, steering::DrainSource::Server, isDraining, now);
+}
+
+void TrafficState::applyServers(const steering::RoutingSnapshot& snapshot, steering::Index ownZone, TimePoint now)
 {
     const std::scoped_lock lock(this->serverMutex);
-    std::optional<steering::Index> best;
-    double bestLoad = 1.0;
-    for (const steering::Index index : snapshot.services[service].serversByZone[zone]) {
-        const steering::ServerRoute& server = snapshot.servers[index];
-        if (server.isLeaving || std::find(tried.begin(), tried.end(), index) != tried.end())
-            continue;
-        const double load = static_cast<double>(this->inFlight[server.name]) / server.slots;
-        if (load < bestLoad) {
-            best = index;
-            bestLoad = load;
-        }
-    }
-    if (best)
-        ++this->inFlight[snapshot.servers[*best].name];
-    return best;
-}
-
-void TrafficState::releaseServer(const std::string& name)
+    // Servers that run when this instance starts have served before; later ones start cold.
+    steering::applySnapshot(this->servers, snapshot, now, !this->hasAppliedServers);
+    this->hasAppliedServers = true;
+    this->slotHistory.adopt(steering::slotShares(snapshot, ownZone));
+    if (steering::isWithinPledge(this->servers, this->slotHistory, now))
+        this->slotHistory.confirm();
+    this->slotHistory.settle(now);
+    steering::applyShares(this->servers, this->slotHistory, now);
+}
+
+steering::ShareQuery TrafficState::tickServers(TimePoint now)
+{
+    const std::scoped_lock lock(this->serverMutex);
+    steering::tick(this->servers, now);
+    if (steering::isWithinPledge(this->servers, this->slotHistory, now))
+        this->slotHistory.confirm();
+    this->slotHistory.settle(now);
+    steering::applyShares(this->servers, this->slotHistory, now);
+    return this->slotHistory.makeQuery();
+}
+
+steering::ShareStatus TrafficState::answerShareQuery(const steering::ShareQuery& query)
+{
+    const std::scoped_lock lock(this->serverMutex);
+    return this->slotHistory.answer(query);
+}
+
+void TrafficState::recordShareStatus(const steering::ShareStatus& status, TimePoint now)
+{
+    const std::scoped_lock lock(this->serverMutex);
+    this->slotHistory.recordStatus(status, now);
+    this->slotHistory.settle(now);
+    steering::applyShares(this->servers, this->slotHistory, now);
+}
+
+void TrafficState::recordPlatformDrain(std::string_view server, bool isLeaving, TimePoint now)
 {
     const std::scoped_lock lock(this->serverMutex);
-    --this->inFlight[name];
+    steering::recordDrain(this->servers, server, steering::DrainSource::Platform, isLeaving, now);
 }
 
 } // namespace clementinefall::requests
--- a/src/libs/requests/trafficstate.h
+++ b/src/libs/requests/trafficstate.h
@@ -4,12 +4,15 @@
 #include "requests/executiontable.h"
 #include "requests/retrybudget.h"
 #include "steering/routing.h"
+#include "steering/servertable.h"
+#include "steering/sharehistory.h"
 
 #include <atomic>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace clementinefall::requests {
 
@@ -42,11 +45,7 @@
 /// State that the traffic threads share. Members behind a mutex are locked for short sections only.
 class TrafficState {
 public:
-    TrafficState(InstanceIdentity identity, SpanSink& sink)
-        : self(std::move(identity))
-        , spans(sink)
-    {
-    }
+    TrafficState(InstanceIdentity identity, SpanSink& sink);
 
     std::shared_ptr<const PublishedRouting> routing() const { return std::atomic_load(&this->published); }
     void publish(std::shared_ptr<const PublishedRouting> routing)
@@ -54,11 +53,25 @@
         std::atomic_store(&this->published, std::move(routing));
     }
 
-    /// Takes a slot of the least loaded server of the service in \a zone that was not tried yet; nothing when all are
-    /// full, leaving or tried.
-    std::optional<steering::Index> takeServer(const steering::RoutingSnapshot& snapshot, steering::Index service,
-        steering::Index zone, const std::vector<steering::Index>& tried);
-    void releaseServer(const std::string& name);
+    /// Takes a slot of a backend server of the own zone that is not in \a tried.
+    struct TakenServer {
+        steering::ServerSlot slot = 0;
+        std::string name;
+        HostPort address;
+    };
+    std::variant<TakenServer, ResultCode> takeServer(steering::Index service, bundle::Priority priority,
+        const std::vector<steering::ServerSlot>& tried, Random& random);
+    /// Gives the slot back and learns from the outcome. A draining signal in the answer ends new work on the server.
+    void releaseServer(
+        steering::Index service, const TakenServer& server, const steering::AttemptOutcome& outcome, bool isDraining);
+
+    /// Applies a new bundle to the servers' state and to the own slot shares. Control thread.
+    void applyServers(const steering::RoutingSnapshot& snapshot, steering::Index ownZone, TimePoint now);
+    /// Control thread, once a second: ramps, ejections and shares. Returns the query for the zone's other instances.
+    steering::ShareQuery tickServers(TimePoint now);
+    steering::ShareStatus answerShareQuery(const steering::ShareQuery& query);
+    void recordShareStatus(const steering::ShareStatus& status, TimePoint now);
+    void recordPlatformDrain(std::string_view server, bool isLeaving, TimePoint now);
 
     const InstanceIdentity self;
     SpanSink& spans;
@@ -74,7 +87,9 @@
 private:
     std::shared_ptr<const PublishedRouting> published;
     std::mutex serverMutex;
-    std::map<std::string, unsigned, std::less<>> inFlight;
+    steering::ServerTable servers;
+    steering::ShareHistory slotHistory;
+    bool hasAppliedServers = false;
 };
 
 } // namespace clementinefall::requests
