Count the overhead of stored answers into the limit of kept bytes

Cause: 24 MB of answer text plus the overhead of 65,536 small answers exceeds 32 MB for one instance. Change: the limit of kept bytes covers result objects, headers and allocator overhead. The test of the limit uses the size that the table reports for one answer instead of its text alone. Conclusion: the memory of the table is bounded by its limits.

--- a/src/libs/requests/executiontable.cpp
+++ b/src/libs/requests/executiontable.cpp
@@ -8,6 +8,18 @@
 
 constexpr std::uint64_t bitsPerWord = 64;
 
+/// Overhead of one block of the allocator.
+constexpr std::size_t blockOverhead = 2 * sizeof(void*);
+
+/// Memory of a stored answer beside its text: the result with its control block, the entry in the order of age, and
+/// the overhead of three blocks.
+constexpr std::size_t answerOverhead
+    = sizeof(StoredResult) + 2 * sizeof(void*) + sizeof(std::pair<std::uint64_t, std::size_t>) + 3 * blockOverhead;
+
+/// Memory of one header beside its text: the pair, and the overhead of two long strings.
+constexpr std::size_t headerOverhead = sizeof(std::pair<std::string, std::string>) + 2 * blockOverhead;
+
+/// Text of headers and body.
 std::size_t sizeOfAnswer(const StoredResult& result)
 {
     std::size_t bytes = result.body.size();
@@ -82,8 +94,8 @@
         this->records.erase(found);
     else if (outcomeOf(finished.result->code) == Outcome::NotRun)
         this->notRunOrder.push_back(sequence);
-    else if (isKept && bytes > 0)
-        this->keepBytes(sequence, bytes);
+    else if (isKept)
+        this->keepBytes(sequence, bytes + answerOverhead + finished.result->headers.size() * headerOverhead);
     this->expire(now);
     return finished;
 }
@@ -121,13 +133,10 @@
 
 std::size_t ExecutionTable::memoryBytes() const
 {
-    // A node of the map holds the entry and a link; a stored result is one allocation with its control block.
-    constexpr std::size_t nodeBytes = sizeof(Records::value_type) + sizeof(void*);
-    constexpr std::size_t resultBytes = sizeof(StoredResult) + 2 * sizeof(void*);
-    return this->records.size() * nodeBytes + this->keptOrder.size() * resultBytes
-        + this->records.bucket_count() * sizeof(void*) + this->kept + this->notRunOrder.size() * sizeof(std::uint64_t)
-        + this->keptOrder.size() * sizeof(std::pair<std::uint64_t, std::size_t>)
-        + this->refusedBits.size() * sizeof(std::uint64_t);
+    // A node of the map holds the entry, a link and the allocator's overhead.
+    constexpr std::size_t nodeBytes = sizeof(Records::value_type) + 2 * sizeof(void*);
+    return this->records.size() * nodeBytes + this->records.bucket_count() * sizeof(void*) + this->kept
+        + (this->notRunOrder.size() + this->refusedBits.size()) * sizeof(std::uint64_t);
 }
 
 bool ExecutionTable::isRefused(std::uint64_t sequence) const
--- a/src/libs/requests/executiontable.h
+++ b/src/libs/requests/executiontable.h
@@ -63,8 +63,9 @@
 
 struct ExecutionLimits {
     std::size_t records = 65536;
-    std::size_t keptBytes = std::size_t { 24 } * 1024 * 1024; ///< All kept headers and bodies together.
-    std::size_t bodyBytes = std::size_t { 64 } * 1024; ///< Headers and body of one result.
+    std::size_t keptBytes
+        = std::size_t { 24 } * 1024 * 1024; ///< Memory of all kept headers and bodies, with its overhead.
+    std::size_t bodyBytes = std::size_t { 64 } * 1024; ///< Text of headers and body of one result.
     std::size_t waitersPerRecord = 16;
 };
 
--- a/src/libs/requests/simulatedentry.cpp
+++ b/src/libs/requests/simulatedentry.cpp
@@ -24,7 +24,7 @@
     ExecutionLimits limits;
     if (world.hasSmallTables) {
         limits.records = 12;
-        limits.keptBytes = 200;
+        limits.keptBytes = 1000;
         limits.bodyBytes = 40;
         limits.waitersPerRecord = 1;
     }
--- a/src/libs/requests/tst_executiontable.cpp
+++ b/src/libs/requests/tst_executiontable.cpp
@@ -127,7 +127,7 @@
 {
     ExecutionLimits limits;
     limits.records = 2;
-    limits.keptBytes = 100;
+    limits.keptBytes = 400;
     limits.bodyBytes = 60;
     limits.waitersPerRecord = 1;
     ExecutionTable table(limits);
@@ -161,13 +161,15 @@
     SECTION("the oldest body is dropped first, and the answer stays known")
     {
         table.finish(1, resultWith(ResultCode::Answered, 60), start);
+        const std::size_t one = table.keptBytes();
+        REQUIRE(2 * one > limits.keptBytes);
         table.finish(2, resultWith(ResultCode::Answered, 60), start);
         const auto first = std::get<Finished>(table.begin(1, hashA, start)).result;
         const auto second = std::get<Finished>(table.begin(2, hashA, start)).result;
         CHECK(first->code == ResultCode::Answered);
         CHECK_FALSE(first->bodyKept);
         CHECK(second->body.size() == 60);
-        CHECK(table.keptBytes() == 60);
+        CHECK(table.keptBytes() == one);
     }
 
     SECTION("a body above the limit is not kept and a second finish changes nothing")
