Report the first suspicion in bench_membership

Cause: the bench gave the time until a dead member is dead everywhere, but lookups rank it last as soon as it is suspect, which the design page states as about 1.5 s. Cases without a sample showed a detection time of 0.

Change: a figure for the first suspicion; -1 where there are no samples.

--- a/src/libs/membership/bench_membership.cpp
+++ b/src/libs/membership/bench_membership.cpp
@@ -29,24 +29,26 @@
 
 struct Figures {
     std::vector<double> detection; ///< Seconds until all running instances hold a dead one as dead.
+    std::vector<double> suspicion; ///< Seconds until the first instance suspects a dead one.
     std::size_t missed = 0; ///< Dead instances that some instance did not learn of within detectionLimit.
     double suspicionsPerHour = 0; ///< False ones, for each instance.
     std::size_t falseDeaths = 0;
     double messagesPerSecond = 0; ///< For each instance.
     double neighboursDetection = 0; ///< Seconds until four ring neighbours that died at once are dead everywhere.
 
-    double median() const
-    {
-        std::vector<double> sorted = this->detection;
-        std::sort(sorted.begin(), sorted.end());
-        return sorted.empty() ? 0 : sorted[sorted.size() / 2];
-    }
     double worst() const
     {
-        return this->detection.empty() ? 0 : *std::max_element(this->detection.begin(), this->detection.end());
+        return this->detection.empty() ? -1 : *std::max_element(this->detection.begin(), this->detection.end());
     }
 };
 
+/// -1 when there are no samples.
+double medianOf(std::vector<double> samples)
+{
+    std::sort(samples.begin(), samples.end());
+    return samples.empty() ? -1 : samples[samples.size() / 2];
+}
+
 double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
 
 std::vector<std::size_t> ringOrder(std::size_t size)
@@ -266,8 +268,17 @@
     for (std::size_t i = 0; i < plan.kills; ++i) {
         const std::size_t node = randomBelow(fleet.random, plan.size);
         fleet.runFor(milliseconds(randomBelow(fleet.random, 1000)));
+        fleet.changes.clear();
+        const TimePoint killedAt = fleet.now;
         fleet.kill(node);
         const auto time = waitUntilDead(fleet, { node }, isDeadEverywhere);
+        const auto suspected
+            = std::find_if(fleet.changes.begin(), fleet.changes.end(), [&](const FakeFleet::ObservedChange& observed) {
+                  return observed.change.record.state == MemberState::Suspect
+                      && FakeFleet::nodeOf(observed.change.record.address) == node;
+              });
+        if (suspected != fleet.changes.end())
+            figures.suspicion.push_back(secondsOf(suspected->time - killedAt));
         if (time)
             figures.detection.push_back(*time);
         else
@@ -320,11 +331,13 @@
 
 void print(std::string_view protocol, const Plan& plan, const Figures& figures)
 {
-    fmt::print("membership protocol={} size={} loss={:.2f} detection_median_s={:.2f} detection_worst_s={:.2f} "
+    fmt::print("membership protocol={} size={} loss={:.2f} first_suspicion_median_s={:.2f} detection_median_s={:.2f} "
+               "detection_worst_s={:.2f} "
                "missed={}/{} false_suspicions_per_instance_hour={:.1f} false_deaths={} messages_per_instance_s={:.2f} "
                "four_neighbours_s={:.2f}\n",
-        protocol, plan.size, plan.loss, figures.median(), figures.worst(), figures.missed, plan.kills,
-        figures.suspicionsPerHour, figures.falseDeaths, figures.messagesPerSecond, figures.neighboursDetection);
+        protocol, plan.size, plan.loss, medianOf(figures.suspicion), medianOf(figures.detection), figures.worst(),
+        figures.missed, plan.kills, figures.suspicionsPerHour, figures.falseDeaths, figures.messagesPerSecond,
+        figures.neighboursDetection);
     std::fflush(stdout);
 }
 
