--- a/src/libs/membership/tst_memberstep.cpp
+++ b/src/libs/membership/tst_memberstep.cpp
@@ -279,7 +279,7 @@
         REQUIRE(fleetWithDead.isCalm());
         const std::size_t before = fleetWithDead.nodes[5].messagesSent;
         fleetWithDead.runFor(seconds(20));
-        CHECK(fleetWithDead.nodes[5].messagesSent - before <= 20 * 6);
+        CHECK(fleetWithDead.nodes[5].messagesSent - before <= 20UL * 6);
     }
 
     SECTION("a calm fleet")
