--- a/src/libs/bundle/tst_rolloutexplorer.cpp
+++ b/src/libs/bundle/tst_rolloutexplorer.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -67,10 +68,13 @@
     std::vector<std::string> results;
 };
 
+/// Most steps are of instances and leave the platform and the operators alone, so worlds share both, with their keys.
 struct World {
-    Platform platform;
-    std::array<OperatorState, 2> operators;
-    std::array<AdoptionState, 3> instances;
+    std::shared_ptr<const Platform> platform = std::make_shared<const Platform>();
+    const std::string* platformKey = nullptr;
+    const std::string* operatorsKey = nullptr;
+    std::shared_ptr<std::array<OperatorState, 2>> operators = std::make_shared<std::array<OperatorState, 2>>();
+    std::array<const AdoptionState*, 3> instances {}; ///< Interned by the explorer.
     bool canLoseAnswer = true;
     std::optional<ConditionalWrite> delayed; ///< A lost write that the platform may still carry out.
     std::string path;
@@ -87,8 +91,11 @@
     {
     }
 
-    void run(World start)
+    void run(World start, const AdoptionState& heldByAll)
     {
+        start.instances.fill(this->internState(heldByAll));
+        this->noteOperators(start);
+        this->notePlatform(start);
         this->add(std::move(start));
         while (!this->open.empty() && this->violation.empty()) {
             const World world = std::move(this->open.back());
@@ -104,27 +111,55 @@
 private:
     void add(World world)
     {
-        if (this->visited.insert(hash64(this->keyOf(world))).second) {
+        if (this->visited.insert(keyOf(world)).second) {
             ++this->states;
             this->open.push_back(std::move(world));
         }
     }
 
+    void addOperatorStep(World world)
+    {
+        noteOperators(world);
+        this->add(std::move(world));
+    }
+
     void require(bool holds, const World& world, std::string_view what)
     {
         if (!holds && this->violation.empty())
             this->violation = fmt::format("{} after {}", what, world.path);
     }
 
-    std::string keyOf(const World& world)
+    static std::uint64_t keyOf(const World& world)
     {
-        std::string key = fmt::format("{} ", world.canLoseAnswer);
-        for (const auto& [name, values] : world.platform.objects) {
+        std::array<const void*, 5> parts { world.platformKey, world.operatorsKey, world.instances[0],
+            world.instances[1], world.instances[2] };
+        // The first two instances are alike, so their order does not matter.
+        std::sort(parts.begin() + 2, parts.begin() + 4);
+        return hash64({ reinterpret_cast<const char*>(parts.data()), sizeof(parts) });
+    }
+
+    const AdoptionState* internState(const AdoptionState& state)
+    {
+        std::string key = fmt::format("{} {} {} {} {}", state.acceptedVersion, state.acceptedDigest,
+            state.stagedVersion, state.stagedDigest, state.rolloutRevision);
+        return &this->knownStates.emplace(std::move(key), state).first->second;
+    }
+
+    static void notePlatform(World& world)
+    {
+        std::string key;
+        for (const auto& [name, values] : world.platform->objects) {
             for (const std::string* value : values)
                 key += fmt::format("{} ", fmt::ptr(value));
             key += name;
         }
-        for (const OperatorState& person : world.operators) {
+        world.platformKey = intern(std::move(key));
+    }
+
+    static void noteOperators(World& world)
+    {
+        std::string key = fmt::format("{} ", world.canLoseAnswer);
+        for (const OperatorState& person : *world.operators) {
             key += fmt::format("|{} {} {} {} {} {} {}", person.command, static_cast<int>(person.phase),
                 person.nextWrite, person.progress.isInDoubt, person.progress.hasConflict, person.progress.calls,
                 fmt::join(person.results, ","));
@@ -133,29 +168,28 @@
         }
         if (world.delayed)
             key += fmt::format("|{} {}", world.delayed->ifVersion, fmt::ptr(intern(world.delayed->value)));
-        // The first two instances are alike, so their order does not matter.
-        std::array<std::string, 3> instances;
-        std::transform(world.instances.begin(), world.instances.end(), instances.begin(), keyOfInstance);
-        std::sort(instances.begin(), instances.begin() + 2);
-        return key + fmt::format("|{}", fmt::join(instances, "|"));
+        world.operatorsKey = intern(std::move(key));
     }
 
-    static std::string keyOfInstance(const AdoptionState& state)
+    bool writeTo(World& world, const ConditionalWrite& write)
     {
-        return fmt::format("{} {} {} {} {}", state.acceptedVersion, state.acceptedDigest, state.stagedVersion,
-            state.stagedDigest, state.rolloutRevision);
+        Platform platform = *world.platform;
+        const bool applied = platform.write(write, this->faults);
+        world.platform = std::make_shared<const Platform>(std::move(platform));
+        notePlatform(world);
+        this->checkPlatform(world);
+        return applied;
     }
 
     void expand(const World& world)
     {
-        for (std::size_t i = 0; i < world.operators.size(); ++i)
+        for (std::size_t i = 0; i < world.operators->size(); ++i)
             this->stepOperator(world, i);
         if (world.delayed) {
             World next = this->after(world, "d");
             next.delayed.reset();
-            next.platform.write(*world.delayed, this->faults);
-            this->checkPlatform(next);
-            this->add(std::move(next));
+            this->writeTo(next, *world.delayed);
+            this->addOperatorStep(std::move(next));
         }
         for (std::size_t i = 0; i < world.instances.size(); ++i) {
             for (std::size_t lag = 0; lag < 3; ++lag) {
@@ -174,9 +208,16 @@
         return next;
     }
 
+    static World afterOperator(const World& world, const std::string& step)
+    {
+        World next = after(world, step);
+        next.operators = std::make_shared<std::array<OperatorState, 2>>(*world.operators);
+        return next;
+    }
+
     void stepOperator(const World& world, std::size_t index)
     {
-        const OperatorState& person = world.operators[index];
+        const OperatorState& person = (*world.operators)[index];
         if (person.command == this->scripts[index].size())
             return;
         if (person.phase == Phase::Plan) {
@@ -193,16 +234,16 @@
 
     void plan(const World& world, std::size_t index, std::size_t lag)
     {
-        World next = this->after(world, fmt::format("p{}-{}", index, lag));
-        OperatorState& person = next.operators[index];
+        World next = this->afterOperator(world, fmt::format("p{}-{}", index, lag));
+        OperatorState& person = (*next.operators)[index];
         const Command& command = this->scripts[index][person.command];
-        const auto read = [&world, lag](const std::string& key) { return world.platform.read(key, lag); };
+        const auto read = [&world, lag](const std::string& key) { return world.platform->read(key, lag); };
         RolloutObjects objects { read(std::string(acceptedKey)), read(std::string(rolloutKey)),
             read(bundleKey(command.version)), read(signOffsKey(command.version)), {} };
         const auto policy = policyKey(objects.accepted);
         if (valueOf(policy))
-            objects.policy = world.platform.read(*valueOf(policy), 0);
-        const auto planned = this->planOnce(index, person.command, objects, read(bundleKey(command.version - 1)));
+            objects.policy = world.platform->read(*valueOf(policy), 0);
+        const auto& planned = this->planOnce(index, person.command, objects, read(bundleKey(command.version - 1)));
         if (!isOk(planned)) {
             this->finish(person, fmt::format("{}", number(errorOf(planned).code)));
         } else if (valueOf(planned).writes.empty()) {
@@ -213,7 +254,7 @@
             person.progress = { person.writes[0], false, false, 0 };
             person.phase = Phase::Write;
         }
-        this->add(std::move(next));
+        this->addOperatorStep(std::move(next));
     }
 
     /// Planning verifies signatures, which costs more than the rest; equal inputs give equal plans.
@@ -242,39 +283,37 @@
 
     void write(const World& world, std::size_t index)
     {
-        const ConditionalWrite& request = world.operators[index].progress.write;
-        World next = this->after(world, fmt::format("w{}", index));
-        const bool applied = next.platform.write(request, this->faults);
-        this->checkPlatform(next);
+        const ConditionalWrite& request = (*world.operators)[index].progress.write;
+        World next = this->afterOperator(world, fmt::format("w{}", index));
+        const bool applied = this->writeTo(next, request);
         this->follow(next, index,
-            afterWrite(next.operators[index].progress, applied ? WriteAnswer::Applied : WriteAnswer::Conflict));
-        this->add(std::move(next));
+            afterWrite((*next.operators)[index].progress, applied ? WriteAnswer::Applied : WriteAnswer::Conflict));
+        this->addOperatorStep(std::move(next));
         if (!world.canLoseAnswer)
             return;
         for (const char* fate : { "applied", "dropped", "delayed" }) {
-            World lost = this->after(world, fmt::format("w{}-lost-{}", index, fate));
+            World lost = this->afterOperator(world, fmt::format("w{}-lost-{}", index, fate));
             lost.canLoseAnswer = false;
             if (fate == std::string_view("applied"))
-                lost.platform.write(request, this->faults);
+                this->writeTo(lost, request);
             if (fate == std::string_view("delayed"))
                 lost.delayed = request;
-            this->checkPlatform(lost);
-            this->follow(lost, index, afterWrite(lost.operators[index].progress, WriteAnswer::Lost));
-            this->add(std::move(lost));
+            this->follow(lost, index, afterWrite((*lost.operators)[index].progress, WriteAnswer::Lost));
+            this->addOperatorStep(std::move(lost));
         }
     }
 
     void readBack(const World& world, std::size_t index, std::size_t lag)
     {
-        World next = this->after(world, fmt::format("r{}-{}", index, lag));
-        WriteProgress& progress = next.operators[index].progress;
-        this->follow(next, index, afterReadBack(progress, next.platform.read(progress.write.key, lag)));
-        this->add(std::move(next));
+        World next = this->afterOperator(world, fmt::format("r{}-{}", index, lag));
+        WriteProgress& progress = (*next.operators)[index].progress;
+        this->follow(next, index, afterReadBack(progress, next.platform->read(progress.write.key, lag)));
+        this->addOperatorStep(std::move(next));
     }
 
     void follow(World& world, std::size_t index, NextWriteStep step)
     {
-        OperatorState& person = world.operators[index];
+        OperatorState& person = (*world.operators)[index];
         const bool isDecisive = person.nextWrite == 0;
         if (step == NextWriteStep::Write)
             person.phase = Phase::Write;
@@ -301,27 +340,21 @@
 
     void observe(World& world, std::size_t index, std::size_t lag)
     {
-        AdoptionState& state = world.instances[index];
-        const std::uint64_t before = state.acceptedVersion;
-        const auto read = [&world, lag](const std::string& key) { return world.platform.read(key, lag); };
-        const StoredObject accepted = read(std::string(acceptedKey));
-        const StoredObject rollout = read(std::string(rolloutKey));
-        std::string key = fmt::format("{} {} {} {} {}", instanceZones[index], this->keyOfInstance(state),
-            fmt::ptr(intern(accepted.value)), rollout.version, fmt::ptr(intern(rollout.value)));
-        for (const std::uint64_t version : { 1U, 2U, 3U })
-            key += fmt::format(" {} {}", fmt::ptr(intern(read(bundleKey(version)).value)),
-                fmt::ptr(intern(read(signOffsKey(version)).value)));
-        const auto found = this->observations.find(key);
+        const AdoptionState* before = world.instances[index];
+        const Observation key { world.platformKey, lag, instanceZones[index], before };
+        auto found = this->observations.find(key);
         if (found == this->observations.end())
-            state = this->observations.emplace(key, this->adopt(state, index, accepted, rollout, read)).first->second;
-        else
-            state = found->second;
-        this->require(state.acceptedVersion >= before, world, "an accepted version went down");
+            found = this->observations.emplace(key, this->internState(this->adopt(*before, index, world, lag))).first;
+        world.instances[index] = found->second;
+        this->require(
+            found->second->acceptedVersion >= before->acceptedVersion, world, "an accepted version went down");
     }
 
-    AdoptionState adopt(const AdoptionState& state, std::size_t index, const StoredObject& accepted,
-        const StoredObject& rollout, const ObjectReader& read) const
+    AdoptionState adopt(const AdoptionState& state, std::size_t index, const World& world, std::size_t lag) const
     {
+        const auto read = [&world, lag](const std::string& key) { return world.platform->read(key, lag); };
+        const StoredObject accepted = read(std::string(acceptedKey));
+        const StoredObject rollout = read(std::string(rolloutKey));
         const AdoptionSettings settings { instanceZones[index], this->trustedRoots };
         const auto result = viewRollout(accepted, rollout, read);
         RolloutView view = valueOf(result);
@@ -337,11 +370,12 @@
         return endStaging(next, view.rolloutRevision).state;
     }
 
-    std::vector<AcceptedRecord> acceptedHistory(const World& world) const
+    const std::vector<AcceptedRecord>& acceptedHistory(const World& world)
     {
-        std::vector<AcceptedRecord> history;
-        const auto found = world.platform.objects.find(std::string(acceptedKey));
-        for (const std::string* value : found->second) {
+        auto& history = this->histories[world.platformKey];
+        if (!history.empty())
+            return history;
+        for (const std::string* value : world.platform->objects.at(std::string(acceptedKey))) {
             const auto record = readAccepted({ std::string(acceptedKey), 1, *value });
             history.push_back(valueOf(record));
         }
@@ -350,7 +384,7 @@
 
     void checkPlatform(const World& world)
     {
-        const auto history = this->acceptedHistory(world);
+        const auto& history = this->acceptedHistory(world);
         for (std::size_t i = 1; i < history.size(); ++i) {
             this->require(history[i].version >= history[i - 1].version, world, "the accepted version went down");
             if (history[i].version == history[i - 1].version)
@@ -364,23 +398,25 @@
     /// What the operators were told must be what happened, and every instance must reach the accepted bundle.
     void checkFinal(const World& world)
     {
-        for (std::size_t i = 0; i < world.operators.size(); ++i) {
-            if (world.operators[i].command != this->scripts[i].size() || world.delayed)
+        for (std::size_t i = 0; i < world.operators->size(); ++i) {
+            if ((*world.operators)[i].command != this->scripts[i].size() || world.delayed)
                 return;
         }
-        const auto history = this->acceptedHistory(world);
+        const auto& history = this->acceptedHistory(world);
+        const bool isNew = this->checkedAnswers.emplace(world.platformKey, world.operatorsKey).second;
         std::string outcome;
-        for (std::size_t i = 0; i < world.operators.size(); ++i) {
-            for (std::size_t k = 0; k < this->scripts[i].size(); ++k)
+        for (std::size_t i = 0; i < world.operators->size(); ++i) {
+            for (std::size_t k = 0; isNew && k < this->scripts[i].size(); ++k)
                 this->checkAnswer(world, history, i, k, outcome);
         }
-        this->outcomes.insert(outcome);
+        if (isNew)
+            this->outcomes.insert(outcome);
         World settled = world;
         for (std::size_t i = 0; i < settled.instances.size(); ++i) {
             this->observe(settled, i, 0);
-            this->require(settled.instances[i].acceptedDigest == history.back().digest, world,
+            this->require(settled.instances[i]->acceptedDigest == history.back().digest, world,
                 "an accepted bundle did not arrive");
-            this->require(!history.back().isWithdrawn(settled.instances[i].stagedVersion), world,
+            this->require(!history.back().isWithdrawn(settled.instances[i]->stagedVersion), world,
                 "a withdrawn bundle stayed in force");
         }
     }
@@ -389,7 +425,7 @@
         std::size_t index, std::string& outcome)
     {
         const Command& command = this->scripts[person][index];
-        const std::string& answer = world.operators[person].results[index];
+        const std::string& answer = (*world.operators)[person].results[index];
         outcome += fmt::format("{} {}={}; ", command.kind, command.version, answer);
         const std::string operationId = fmt::format("{}-{}", person, index);
         std::size_t acceptances = 0;
@@ -413,7 +449,11 @@
     std::vector<World> open;
     std::unordered_set<std::uint64_t> visited;
     std::unordered_map<std::string, Result<CommandPlan>> plans;
-    std::unordered_map<std::string, AdoptionState> observations;
+    std::unordered_map<const std::string*, std::vector<AcceptedRecord>> histories;
+    std::set<std::pair<const std::string*, const std::string*>> checkedAnswers;
+    using Observation = std::tuple<const std::string*, std::size_t, std::string_view, const AdoptionState*>;
+    std::map<Observation, const AdoptionState*> observations;
+    std::map<std::string, AdoptionState> knownStates;
 };
 
 /// Scenarios of two operators over a platform where version 1 is accepted.
@@ -446,8 +486,7 @@
         }
         // Here the instances hold version 1 already; the other scenario has them start without a bundle.
         const auto held = std::make_shared<const Bundle>(this->people.bundle(1, "ida"));
-        for (AdoptionState& instance : this->world.instances)
-            instance = { 1, bundleDigest(*held), held, 0, "", nullptr, 0 };
+        this->heldByAll = { 1, bundleDigest(*held), held, 0, "", nullptr, 0 };
         const Command stage { "stage", 2, [context = this->context(0, 0, "ida")](const auto& objects, const auto&) {
                                  return planStage(context, objects, { "sur-a" });
                              } };
@@ -462,7 +501,7 @@
     Explorer explore(std::array<std::vector<Command>, 2> scripts, Faults faults)
     {
         Explorer explorer(std::move(scripts), this->roots(), faults);
-        explorer.run(this->world);
+        explorer.run(this->world, this->heldByAll);
         return explorer;
     }
 
@@ -471,7 +510,9 @@
 
     void put(const std::string& key, std::string value)
     {
-        this->world.platform.objects[key] = { intern(std::move(value)) };
+        Platform platform = *this->world.platform;
+        platform.objects[key] = { intern(std::move(value)) };
+        this->world.platform = std::make_shared<const Platform>(std::move(platform));
     }
 
     CommandContext context(int person, int command, const std::string& name) const
@@ -501,6 +542,7 @@
 
     TestOperators people;
     World world;
+    AdoptionState heldByAll;
 };
 
 } // namespace
