Return statuses that can be moved

Change: four local statuses are no longer const; the test moves its exchange. Conclusion: no change of behaviour.

--- a/src/libs/admin/permissions.cpp
+++ b/src/libs/admin/permissions.cpp
@@ -42,7 +42,7 @@
 
 Status checkSubmitPermission(const Operator& person, const Bundle& current, const Bundle& candidate)
 {
-    const Status role = requireRole(person, Role::Editor);
+    Status role = requireRole(person, Role::Editor);
     if (!isOk(role) || person.role != Role::Editor)
         return role;
     if (withoutTeam(current, person.team) == withoutTeam(candidate, person.team))
--- a/src/libs/bundle/adoption.cpp
+++ b/src/libs/bundle/adoption.cpp
@@ -32,7 +32,7 @@
         const SignedBundle& entry = candidate.policyTrail[i];
         if (entry.bundle->version <= policy->version)
             continue;
-        const Status status = checkSignOffs(*policy, *entry.bundle, entry.signOffs);
+        Status status = checkSignOffs(*policy, *entry.bundle, entry.signOffs);
         if (!isOk(status))
             return status;
         policy = entry.bundle.get();
@@ -46,8 +46,7 @@
 {
     if (state.accepted)
         return checkAlongTrail({ state.accepted.get(), 0 }, candidate);
-    const Status byRoot
-        = checkFirstSignOffs(settings.trustedRoots, *candidate.content.bundle, candidate.content.signOffs);
+    Status byRoot = checkFirstSignOffs(settings.trustedRoots, *candidate.content.bundle, candidate.content.signOffs);
     if (isOk(byRoot))
         return byRoot;
     const Anchor anchor = anchorInTrail(candidate, settings);
--- a/src/libs/bundle/signoffs.cpp
+++ b/src/libs/bundle/signoffs.cpp
@@ -82,7 +82,7 @@
     const std::vector<std::string>& trustedRoots, const Bundle& candidate, const std::vector<SignOff>& signOffs)
 {
     const CountedKeys counted = countSignOffs(candidate, candidate, signOffs);
-    const Status status = checkCount(candidate, counted);
+    Status status = checkCount(candidate, counted);
     if (!isOk(status))
         return status;
     const bool isAnchored = std::any_of(trustedRoots.begin(), trustedRoots.end(),
--- a/src/tools/ctl/tst_commands.cpp
+++ b/src/tools/ctl/tst_commands.cpp
@@ -42,9 +42,10 @@
         const auto client = std::make_shared<platform::PlatformClient>(this->context.get_executor(), clientSettings);
         const auto service = std::make_shared<admin::AdminService>(std::make_shared<admin::PlatformStore>(client),
             admin::AdminSettings { trustedRoots, bundle::tokenDigest("first") }, this->hooks());
-        this->adminServer
-            = std::make_shared<http::Server>(std::vector<asio::io_context*> { &this->context }, http::ServerLimits {},
-                [service](std::shared_ptr<http::Exchange> exchange) { return admin::serveAdmin(service, exchange); });
+        this->adminServer = std::make_shared<http::Server>(std::vector<asio::io_context*> { &this->context },
+            http::ServerLimits {}, [service](std::shared_ptr<http::Exchange> exchange) {
+                return admin::serveAdmin(service, std::move(exchange));
+            });
         REQUIRE(isOk(this->adminServer->listen({ "127.0.0.1", 0 })));
         this->thread = std::thread([this] { this->context.run(); });
     }
