Let the context of the ctl test run out of work

Cause: stopping the context left coroutines of the test's servers unfinished. Change: the test closes both servers and joins the thread, which then ends. Before: context stopped with work left.

--- a/src/tools/ctl/tst_commands.cpp
+++ b/src/tools/ctl/tst_commands.cpp
@@ -17,7 +17,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <mutex>
 #include <sstream>
 #include <thread>
@@ -52,14 +51,11 @@
 
     ~Deployment()
     {
-        std::promise<void> closed;
-        asio::post(this->context, [this, &closed] {
+        // The context then runs out of work and its thread ends.
+        asio::post(this->context, [this] {
             this->adminServer->close();
             this->platformServer->close();
-            closed.set_value();
         });
-        closed.get_future().wait();
-        this->context.stop();
         this->thread.join();
     }
 
