--- a/src/tools/ctl/tst_commands.cpp
+++ b/src/tools/ctl/tst_commands.cpp
@@ -17,7 +17,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <mutex>
 #include <sstream>
 #include <thread>
@@ -42,23 +41,21 @@
         const auto client = std::make_shared<platform::PlatformClient>(this->context.get_executor(), clientSettings);
         const auto service = std::make_shared<admin::AdminService>(std::make_shared<admin::PlatformStore>(client),
             admin::AdminSettings { trustedRoots, bundle::tokenDigest("first") }, this->hooks());
-        this->adminServer
-            = std::make_shared<http::Server>(std::vector<asio::io_context*> { &this->context }, http::ServerLimits {},
-                [service](std::shared_ptr<http::Exchange> exchange) { return admin::serveAdmin(service, exchange); });
+        this->adminServer = std::make_shared<http::Server>(std::vector<asio::io_context*> { &this->context },
+            http::ServerLimits {}, [service](std::shared_ptr<http::Exchange> exchange) {
+                return admin::serveAdmin(service, std::move(exchange));
+            });
         REQUIRE(isOk(this->adminServer->listen({ "127.0.0.1", 0 })));
         this->thread = std::thread([this] { this->context.run(); });
     }
 
     ~Deployment()
     {
-        std::promise<void> closed;
-        asio::post(this->context, [this, &closed] {
+        // The context then runs out of work and its thread ends.
+        asio::post(this->context, [this] {
             this->adminServer->close();
             this->platformServer->close();
-            closed.set_value();
         });
-        closed.get_future().wait();
-        this->context.stop();
         this->thread.join();
     }
 
