Keep the load tool's random source out of a coroutine frame

Cause: with -O1 and sanitizers g++ 12 reports a mismatch of new and delete for coroutine frames over 2 KiB, which is false: Asio takes the aligned functions on both sides.

Change: the arrival loop's random source lives in the run's state.

--- a/src/tools/load/loadrun.cpp
+++ b/src/tools/load/loadrun.cpp
@@ -19,6 +19,7 @@
     LoadResult result;
     std::size_t inFlight = 0;
     TimePoint start;
+    Random random; ///< Not in a coroutine: for frames over 2 KiB g++ 12 reports a false mismatch of new and delete.
 };
 
 const RequestKind& pickKind(const std::vector<RequestKind>& kinds, Random& random)
@@ -47,7 +48,7 @@
 
 Awaitable<void> sendArrivals(Run& run, asio::io_context& context)
 {
-    Random random(run.settings.seed);
+    Random& random = run.random;
     std::exponential_distribution<double> gaps(run.settings.rate);
     asio::steady_timer timer(context);
     TimePoint next = run.start;
@@ -82,7 +83,7 @@
 LoadResult runLoad(const LoadSettings& settings)
 {
     asio::io_context context(1);
-    Run run { settings, {}, {}, 0, Clock::now() };
+    Run run { settings, {}, {}, 0, Clock::now(), Random(settings.seed) };
     for (const std::string& zone : settings.scenario.zones)
         run.groups.push_back(std::make_shared<CallerGroup>(context.get_executor(), zone, settings.entries));
     asio::co_spawn(context, sendArrivals(run, context), asio::detached);
