Take slots soon after a start, keep answers for callers of a stopping instance

Ruled out: the killed instance; the refusals fell into the first two seconds. Change: query zone peers from the bundle every 100 ms until slots are held, and be ready only then; demand the echo only where there is an identity; echo and check the attempt number between entry instances, since an answer to another attempt could pass for the home's final one; issue no identities from the stop order on and carry requests until lookups have run out.

--- a/scripts/run_demo.sh
+++ b/scripts/run_demo.sh
@@ -76,7 +76,7 @@
 echo "submitting, signing off and accepting the bundle"
 "$bin/clementinefall-ctl" check "$bundle" >"$work/check.txt"
 echo "the check found no errors and $(grep -c 'severity: warning' "$work/check.txt" || true) warnings"
-ctl bootstrap submit "$bundle"
+ctl bootstrap submit "$bundle" >"$work/submit.txt"
 ctl bootstrap sign 1 --signer=ben --key_file="$work/ben.key"
 ctl bootstrap accept 1
 for instance in "${instances[@]}"; do
@@ -86,7 +86,7 @@
 
 entries=$(jq -r '[.entryInstances[].traffic] | join(",")' "$bundle")
 "$bin/clementinefall-load" --scenario "$deployment" --entries "$entries" --duration 20 --rate "${DEMO_RATE:-200}" \
-    --seed "${DEMO_SEED:-1}" --backend_control "$backend_control" --report "${DEMO_REPORT:-}" >"$work/table.txt" \
+    --seed "${DEMO_SEED:-1}" --backend_control "$backend_control" --report "${DEMO_REPORT:-}" --output "${DEMO_OUTPUT:-}" >"$work/table.txt" \
     2>"$work/load.log" &
 load=$!
 pids+=("$load")
@@ -111,7 +111,9 @@
 ctl eva drain backend-server "$server"
 ctl ben sign 2 --key_file="$work/ben.key"
 ctl eva accept 2
-drained_at=$(date +%s%N)
+started_of() { curl -sf -m 5 "http://$backend_control/counters" | jq --arg s "$1" '.. | objects | select(.server? == $s) | .started'; }
+sleep 3
+started_after_3s=$(started_of "$server")
 
 status=0
 wait "$load" || status=$?
@@ -125,7 +127,9 @@
 version=$(curl -sf -m 5 "http://$(address_of "${instances[-1]}" admin)/readyz" | jq .bundleVersion)
 echo "bundle version on ${instances[-1]}: $version"
 [ "$version" = 2 ] || status=1
+wait_until 15 grep -q "event=stopped" "$work/${instances[5]}.log"
 grep -h "event=stopped" "$work/${instances[5]}.log" || { echo "the graceful stop did not end" >&2; status=1; }
-echo "seconds since the drain was accepted: $((($(date +%s%N) - drained_at) / 1000000000))"
-curl -sf -m 5 "http://$backend_control/counters" | jq -c --arg s "$server" '.. | objects | select(.name? == $s)' || true
+started_at_end=$(started_of "$server")
+echo "work begun on $server later than 3 s after the drain: $((started_at_end - started_after_3s))"
+[ "$started_at_end" = "$started_after_3s" ] || { echo "a leaving backend server got new work" >&2; status=1; }
 exit "$status"
--- a/src/app/entry/entryinstance.cpp
+++ b/src/app/entry/entryinstance.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr milliseconds tickInterval { 1000 };
+
+/// Until the instance may use its slots; it refuses work that it cannot forward for as long.
+constexpr milliseconds startTickInterval { 100 };
 constexpr milliseconds stopPollInterval { 20 };
 
 /// A leaving backend server gets no new work 3 s after the platform lists it.
@@ -237,7 +240,7 @@
 {
     asio::steady_timer timer(this->control);
     while (!this->stopRequested) {
-        timer.expires_after(tickInterval);
+        timer.expires_after(this->state.hasSlots() ? tickInterval : startTickInterval);
         co_await timer.async_wait(useTuple);
         const TimePoint now = Clock::now();
         this->fleet->tick();
@@ -261,6 +264,7 @@
     if (this->stopRequested)
         return;
     this->stopRequested = true;
+    this->state.leaving = true;
     this->fleet->leave();
     this->publish();
     logInfo("stop_requested", { { "instance", this->settings.name } });
@@ -270,7 +274,9 @@
 Awaitable<void> EntryInstance::stopGracefully()
 {
     const TimePoint end = Clock::now() + this->settings.stopTimeout;
-    asio::steady_timer timer(this->control, this->settings.stopGrace);
+    // Callers may keep a lookup for its time to live, and send requests with identities of this instance meanwhile.
+    const milliseconds lookupTtl = this->snapshot ? this->snapshot->lookupTtl : milliseconds(0);
+    asio::steady_timer timer(this->control, lookupTtl + this->settings.stopGrace);
     co_await timer.async_wait(useTuple);
     this->state.stopping = true;
     this->trafficServer->drain();
@@ -295,7 +301,7 @@
     http::Response response;
     if (target && target->path == "/healthz")
         response = http::jsonResponse(200, "{\"healthy\":true}\n");
-    else if (target && target->path == "/readyz" && routing && !this->stopRequested)
+    else if (target && target->path == "/readyz" && routing && this->state.hasSlots() && !this->stopRequested)
         response = http::jsonResponse(
             200, fmt::format("{{\"ready\":true,\"bundleVersion\":{}}}\n", routing->snapshot->version));
     else if (target && target->path == "/readyz")
--- a/src/app/entry/entrysettings.h
+++ b/src/app/entry/entrysettings.h
@@ -25,7 +25,7 @@
     unsigned maximumConnectionsPerPeer = 4096;
     std::string traceTarget;
     std::string logLevel;
-    milliseconds stopGrace { 3000 }; ///< Lookups no longer offer this instance, but it still takes new requests.
+    milliseconds stopGrace { 2000 }; ///< Added to the time to live of lookups; requests are still carried for so long.
     milliseconds stopTimeout { 30'000 }; ///< After that the process ends even with requests in flight.
 };
 
--- a/src/app/entry/fleetlink.cpp
+++ b/src/app/entry/fleetlink.cpp
@@ -148,9 +148,13 @@
 void FleetLink::bundleChanged(const bundle::Bundle& inForce)
 {
     std::vector<HostPort> hints;
+    this->zonePeers.clear();
     for (const bundle::EntryInstance& instance : inForce.entryInstances) {
-        if (instance.name != this->settings.name)
-            hints.push_back(instance.peer);
+        if (instance.name == this->settings.name)
+            continue;
+        hints.push_back(instance.peer);
+        if (instance.zone == this->settings.zone)
+            this->zonePeers.push_back(instance.peer);
     }
     this->transport->setHints(std::move(hints));
     const bundle::AdoptionState& state = this->watcher->state();
@@ -204,15 +208,12 @@
 void FleetLink::queryZone(const steering::ShareQuery& query)
 {
     const std::string content = serializeShareQuery(query);
-    for (const membership::Member& member : this->table().members) {
-        if (member.record.zone != this->settings.zone || member.record.state == membership::MemberState::Dead)
-            continue;
-        this->client->status(
-            member.record.address, content, shareQueryDeadline, [this](const Result<std::string>& answer) {
-                const auto status = isOk(answer) ? parseShareStatus(valueOf(answer)) : std::nullopt;
-                if (status)
-                    this->handlers.shareStatusArrived(*status);
-            });
+    for (const HostPort& peer : this->zonePeers) {
+        this->client->status(peer, content, shareQueryDeadline, [this](const Result<std::string>& answer) {
+            const auto status = isOk(answer) ? parseShareStatus(valueOf(answer)) : std::nullopt;
+            if (status)
+                this->handlers.shareStatusArrived(*status);
+        });
     }
 }
 
--- a/src/app/entry/fleetlink.h
+++ b/src/app/entry/fleetlink.h
@@ -50,7 +50,7 @@
     /// The bundle in force has changed, from whatever source.
     void bundleChanged(const bundle::Bundle& inForce);
 
-    /// Sends \a query to the other live instances of the own zone.
+    /// Sends \a query to the other instances of the own zone that the bundle in force names.
     void queryZone(const steering::ShareQuery& query);
 
     const membership::MemberTable& table() const { return this->transport->table(); }
@@ -73,6 +73,7 @@
     std::unique_ptr<peers::PeerServer> server;
     std::unique_ptr<peers::PeerClient> client;
     peers::SpreadState spread;
+    std::vector<HostPort> zonePeers;
 };
 
 } // namespace clementinefall::entry
--- a/src/libs/requests/requestsession.cpp
+++ b/src/libs/requests/requestsession.cpp
@@ -505,7 +505,7 @@
     ReceivedAnswer answer;
     answer.expectedIdentity = this->identityText;
     answer.echoedIdentity = http::fieldValue(header, HeaderName::identity);
-    answer.isEchoRequired = isPeer;
+    answer.isEchoRequired = isPeer && !this->identityText.empty();
     const AttemptEnd classified = classifyAnswer(answer);
     if (classified != AttemptEnd::Answered)
         return { classified, ResultCode::UnknownNotDecided };
@@ -513,6 +513,9 @@
         const bool isShed = !http::fieldValue(header, HeaderName::notRun).empty();
         return { isShed ? AttemptEnd::ShedByServer : AttemptEnd::Answered, ResultCode::Answered };
     }
+    // An answer to another attempt at the same request must not count for this one.
+    if (http::fieldValue(header, HeaderName::attempt) != this->attemptLabel())
+        return { AttemptEnd::AnswerInvalid, ResultCode::UnknownNotDecided };
     const auto codeNumber = http::fieldNumber(header, HeaderName::result);
     const auto code = codeNumber ? resultCodeFromNumber(static_cast<unsigned>(*codeNumber)) : std::nullopt;
     if (!code)
@@ -536,7 +539,7 @@
     RequestHeader header = this->headerForServer(trace);
     header.target(this->exchange->header().target());
     header.set(HeaderName::hop, hop);
-    header.set(HeaderName::attempt, fmt::format("{}", this->ends.size() + 1));
+    header.set(HeaderName::attempt, this->attemptLabel());
     header.set(HeaderName::requestClass, this->isIdempotent ? "idempotent" : "non-idempotent");
     header.set(HeaderName::callerZone, this->routing->snapshot->zones[this->callerZone].name);
     return header;
@@ -547,8 +550,13 @@
     http::setResultFields(header, code);
     if (!this->identityText.empty())
         header.set(HeaderName::identity, this->identityText);
+    const std::string_view receivedAttempt = http::fieldValue(this->exchange->header(), HeaderName::attempt);
+    if (!receivedAttempt.empty())
+        header.set(HeaderName::attempt, receivedAttempt);
 }
 
+std::string RequestSession::attemptLabel() const { return fmt::format("{}", this->ends.size() + 1); }
+
 Awaitable<void> RequestSession::relayAnswer(ResultCode code)
 {
     UpstreamAnswer& answer = this->attempt->answer();
--- a/src/libs/requests/requestsession.h
+++ b/src/libs/requests/requestsession.h
@@ -55,6 +55,8 @@
     Awaitable<void> replyStored(ResultCode code, StoredResultPtr result);
     StoredResult storedAnswer() const;
     Hash128 requestHash() const;
+    /// Number of the running attempt, echoed by the entry instance that makes it.
+    std::string attemptLabel() const;
     void setReplyFields(http::ResponseHeader& header, ResultCode code) const;
     void onCallerLeft();
     void finishSpan(ResultCode code);
--- a/src/libs/requests/trafficstate.cpp
+++ b/src/libs/requests/trafficstate.cpp
@@ -78,6 +78,12 @@
     steering::applyShares(this->servers, this->slotHistory, now);
 }
 
+bool TrafficState::hasSlots()
+{
+    const std::scoped_lock lock(this->serverMutex);
+    return this->slotHistory.isStarted();
+}
+
 void TrafficState::recordPlatformDrain(std::string_view server, bool isLeaving, TimePoint now)
 {
     const std::scoped_lock lock(this->serverMutex);
--- a/src/libs/requests/trafficstate.h
+++ b/src/libs/requests/trafficstate.h
@@ -71,12 +71,15 @@
     steering::ShareQuery tickServers(TimePoint now);
     steering::ShareStatus answerShareQuery(const steering::ShareQuery& query);
     void recordShareStatus(const steering::ShareStatus& status, TimePoint now);
+    /// False while a started instance must not use its slots yet.
+    bool hasSlots();
     void recordPlatformDrain(std::string_view server, bool isLeaving, TimePoint now);
 
     const InstanceIdentity self;
     SpanSink& spans;
     TrafficCounters counters;
-    std::atomic<bool> stopping { false };
+    std::atomic<bool> leaving { false }; ///< A stop was requested: no identities are issued, requests are carried.
+    std::atomic<bool> stopping { false }; ///< No new request is carried.
 
     std::mutex executionMutex;
     ExecutionTable executions;
--- a/src/tools/platform/platformserver.cpp
+++ b/src/tools/platform/platformserver.cpp
@@ -73,10 +73,8 @@
 Status PlatformServer::listen(const HostPort& address)
 {
     const std::vector<asio::io_context*> contexts { &this->context };
-    this->server = std::make_shared<http::Server>(
-        contexts, http::ServerLimits {}, [self = this->shared_from_this()](std::shared_ptr<Exchange> exchange) {
-            return self->handle(std::move(exchange));
-        });
+    this->server = std::make_shared<http::Server>(contexts, http::ServerLimits {},
+        [this](std::shared_ptr<Exchange> exchange) { return this->handle(std::move(exchange)); });
     return this->server->listen(address);
 }
 
