Let the simulator return a new execution by move

Cause: clang-tidy reports performance-no-automatic-move in simserver.cpp.

Change: the local variable is not const.

--- a/src/tools/backend/simserver.cpp
+++ b/src/tools/backend/simserver.cpp
@@ -299,7 +299,7 @@
 
 SimServer::ExecutionPtr SimServer::newExecution(const http::RequestHeader& header)
 {
-    const auto execution = std::make_shared<Execution>(this->context);
+    auto execution = std::make_shared<Execution>(this->context);
     const auto target = http::parseTarget(header.target());
     execution->identity = http::fieldValue(header, http::HeaderName::identity);
     execution->path = target->path;
