--- a/src/tools/backend/tst_simserver.cpp
+++ b/src/tools/backend/tst_simserver.cpp
@@ -153,6 +153,7 @@
     SECTION("full slots queue, a full queue sheds, and what was refused has no effect")
     {
         std::vector<std::future<Answer>> running;
+        running.reserve(2);
         for (int i = 0; i < 2; ++i)
             running.push_back(fixture.start(fixture.connection(), requestFor("/a?workMs=60000", "run")));
         REQUIRE(fixture.awaitCounter("started", 2) == 2);
--- a/src/tools/link/udprelay.cpp
+++ b/src/tools/link/udprelay.cpp
@@ -70,7 +70,7 @@
         return found->second;
     if (this->sessions.size() >= maximumSessions)
         return nullptr;
-    const auto session = std::make_shared<Session>(this->context, sender);
+    auto session = std::make_shared<Session>(this->context, sender);
     const HostPort& target = this->state->target;
     const udp::endpoint endpoint(asio::ip::make_address(target.host), target.port);
     beast::error_code error;
--- a/src/tools/load/main.cpp
+++ b/src/tools/load/main.cpp
@@ -34,7 +34,7 @@
 
 Result<Scenario> readScenarioFlag()
 {
-    const Result<Scenario> preset = presetScenario(FLAGS_scenario);
+    Result<Scenario> preset = presetScenario(FLAGS_scenario);
     if (isOk(preset) || !std::filesystem::exists(FLAGS_scenario))
         return preset;
     const Result<SettingsReader> reader = SettingsReader::fromFile(FLAGS_scenario);
