Read the simulator's port once in its test

Cause: the test thread read the port while the server thread could write it after a crash, a data race that the thread sanitizer would report.

Change: the fixture keeps the port from the start.

Conclusion: the test shares no mutable field of the server between threads.

--- a/src/tools/backend/tst_simserver.cpp
+++ b/src/tools/backend/tst_simserver.cpp
@@ -55,6 +55,8 @@
               http::ServerLimits {}, controlHandler({ this->server })))
     {
         REQUIRE(isOk(this->server->start()));
+        // Read here, because the server writes it again after a crash on its own thread.
+        this->serverPort = this->server->port();
         REQUIRE(isOk(this->control->listen({ "127.0.0.1", 0 })));
         this->serverThread = std::thread([this] { this->serverContext.run(); });
         this->clientThread = std::thread([this] { this->clientContext.run(); });
@@ -82,7 +84,7 @@
 
     std::future<Answer> start(ConnectionPtr on, const http::Request& request, milliseconds timeout = milliseconds(5000))
     {
-        const HostPort address { "127.0.0.1", this->server->port() };
+        const HostPort address { "127.0.0.1", this->serverPort };
         return asio::co_spawn(this->clientContext, sendOn(std::move(on), address, request, timeout), asio::use_future);
     }
 
@@ -116,6 +118,7 @@
     asio::io_context clientContext;
     asio::executor_work_guard<asio::io_context::executor_type> guard { this->clientContext.get_executor() };
     std::shared_ptr<SimServer> server;
+    std::uint16_t serverPort = 0;
     std::shared_ptr<http::Server> control;
     std::thread serverThread;
     std::thread clientThread;
