--- a/src/app/entry/bundlewatcher.cpp
+++ b/src/app/entry/bundlewatcher.cpp
@@ -29,7 +29,7 @@
 {
 }
 
-void BundleWatcher::start(asio::any_io_executor executor)
+void BundleWatcher::start(const asio::any_io_executor& executor)
 {
     for (const char* kind : { "bundles", "rollouts" })
         asio::co_spawn(executor, this->follow(this->shared_from_this(), kind), asio::detached);
--- a/src/app/entry/bundlewatcher.h
+++ b/src/app/entry/bundlewatcher.h
@@ -23,7 +23,7 @@
     BundleWatcher(std::shared_ptr<platform::PlatformClient> platformClient, bundle::AdoptionSettings adoptionSettings,
         InForceChanged onChange);
 
-    void start(asio::any_io_executor executor);
+    void start(const asio::any_io_executor& executor);
     void stop() { this->stopped = true; }
 
     const bundle::AdoptionState& state() const { return this->adoption; }
--- a/src/app/entry/fleetlink.cpp
+++ b/src/app/entry/fleetlink.cpp
@@ -54,7 +54,7 @@
 
 Status FleetLink::start()
 {
-    const Status listening = this->server->listen();
+    Status listening = this->server->listen();
     if (!isOk(listening))
         return listening;
     return this->transport->start();
