--- a/src/app/entry/entryinstance.cpp
+++ b/src/app/entry/entryinstance.cpp
@@ -1,5 +1,6 @@
 #include "entryinstance.h"
 
+#include "admin/platformstore.h"
 #include "base/log.h"
 #include "http/target.h"
 
@@ -14,6 +15,11 @@
 constexpr milliseconds tickInterval { 1000 };
 constexpr milliseconds stopPollInterval { 20 };
 
+/// A leaving backend server gets no new work 3 s after the platform lists it.
+constexpr milliseconds listReadInterval { 2000 };
+constexpr double adminCallsPerSecond = 10.0;
+constexpr double adminCallBurst = 60.0;
+
 requests::InstanceIdentity identityFor(const EntrySettings& settings)
 {
     Random random = systemSeededRandom();
@@ -32,6 +38,9 @@
 
 EntryInstance::~EntryInstance()
 {
+    if (this->fleet)
+        this->fleet->stop();
+    this->fleet.reset();
     for (const auto& runner : this->runners) {
         runner->context.stop();
         if (runner->runner.joinable())
@@ -71,12 +80,9 @@
     if (!isOk(admin))
         return admin;
 
-    platform::ClientSettings clientSettings;
-    clientSettings.address = this->settings.platform;
-    this->platformClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
-    this->watcher = std::make_shared<BundleWatcher>(
-        this->platformClient, [this](std::shared_ptr<const bundle::Bundle> bundle) { this->adopt(std::move(bundle)); });
-    this->watcher->start(this->control.get_executor());
+    const Status controlStarted = this->startControl();
+    if (!isOk(controlStarted))
+        return controlStarted;
     asio::co_spawn(this->control, this->tick(), asio::detached);
     this->signals.async_wait([this](beast::error_code error, int) {
         if (!error)
@@ -91,18 +97,140 @@
     return okStatus();
 }
 
-void EntryInstance::run() { this->control.run(); }
+Status EntryInstance::startControl()
+{
+    const Result<membership::ClusterKey> clusterKey = membership::parseClusterKey(this->settings.clusterKey);
+    if (!isOk(clusterKey))
+        return errorOf(clusterKey);
+    this->controlLoop = std::make_unique<peers::ControlLoop>(this->control);
+    platform::ClientSettings clientSettings;
+    clientSettings.address = this->settings.platform;
+    this->platformClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
+    const bundle::AdoptionSettings adoptionSettings { this->settings.zone, this->settings.trustedRoots };
+    this->watcher = std::make_shared<BundleWatcher>(this->platformClient, adoptionSettings,
+        [this](std::shared_ptr<const bundle::Bundle> bundle) { this->adopt(std::move(bundle)); });
+    this->watcher->start(this->control.get_executor());
+    // Operators' commands come in bursts and must not wait behind the instance's own calls, or take their budget.
+    clientSettings.callsPerSecond = adminCallsPerSecond;
+    clientSettings.burst = adminCallBurst;
+    const auto adminClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
+    const admin::AdminSettings adminSettings { this->settings.trustedRoots, this->settings.bootstrapTokenDigest };
+    this->adminService = std::make_shared<admin::AdminService>(
+        std::make_shared<admin::PlatformStore>(adminClient), adminSettings, this->adminHooks());
+
+    FleetLinkHandlers handlers;
+    handlers.membersChanged = [this] { this->publish(); };
+    handlers.superseded = [this] {
+        logError("superseded", { { "instance", this->settings.name } });
+        this->beginStop();
+    };
+    handlers.answerShareQuery
+        = [this](const steering::ShareQuery& query) { return this->state.answerShareQuery(query); };
+    handlers.shareStatusArrived
+        = [this](const steering::ShareStatus& status) { this->state.recordShareStatus(status, Clock::now()); };
+    const FleetLinkSettings linkSettings { this->settings.name, this->settings.zone, this->settings.peer,
+        this->state.self.incarnation, valueOf(clusterKey) };
+    this->fleet = std::make_unique<FleetLink>(this->control, this->watcher, linkSettings, std::move(handlers));
+    this->watcher->setWatchCondition([this] { return this->fleet && this->fleet->shouldWatchPlatform(); });
+    return this->fleet->start();
+}
+
+admin::InstanceHooks EntryInstance::adminHooks()
+{
+    admin::InstanceHooks hooks;
+    hooks.acceptedBundle = [this] { return this->watcher->state().accepted; };
+    hooks.status = [this] { return this->statusReport(); };
+    hooks.quarantined = [] { return boost::json::array(); };
+    hooks.release = [](const std::string&) { return false; };
+    hooks.explain = [](const std::map<std::string, std::string>&) -> Result<boost::json::object> {
+        return makeError(ResultCode::AdminNotFound, "this release explains no decisions yet");
+    };
+    hooks.now = [] { return WallClock::now(); };
+    return hooks;
+}
+
+boost::json::object EntryInstance::statusReport() const
+{
+    const requests::TrafficCounters& counters = this->state.counters;
+    const bundle::AdoptionState& adoption = this->watcher->state();
+    return {
+        { "instance", this->settings.name },
+        { "zone", this->settings.zone },
+        { "incarnation", fmt::format("{:016x}", this->state.self.incarnation) },
+        { "acceptedVersion", adoption.acceptedVersion },
+        { "stagedVersion", adoption.stagedVersion },
+        { "stopping", this->stopRequested },
+        { "lookups", counters.lookups.load() },
+        { "requests", counters.requests.load() },
+        { "answered", counters.answered.load() },
+        { "notRun", counters.notRun.load() },
+        { "unknown", counters.unknown.load() },
+        { "extraAttempts", counters.extraAttempts.load() },
+        { "platformCalls", this->platformClient->callCount() },
+    };
+}
+
+void EntryInstance::run() { this->controlLoop->run(); }
 
 void EntryInstance::adopt(std::shared_ptr<const bundle::Bundle> bundle)
 {
+    this->snapshot = steering::buildSnapshot(*bundle, this->settings.name);
+    if (this->snapshot->ownZone)
+        this->state.applyServers(*this->snapshot, *this->snapshot->ownZone, Clock::now());
+    this->fleet->bundleChanged(*bundle);
+    this->publish();
+}
+
+steering::MemberState EntryInstance::memberStateOf(const steering::InstanceRoute& instance) const
+{
+    if (instance.name == this->settings.name)
+        return this->stopRequested ? steering::MemberState::Leaving : steering::MemberState::Live;
+    const membership::Member* member = membership::findMemberByName(this->fleet->table(), instance.name);
+    // An instance that never answered is ranked last; it may not have been started yet.
+    if (!member)
+        return steering::MemberState::Suspect;
+    switch (member->record.state) {
+    case membership::MemberState::Live:
+        return steering::MemberState::Live;
+    case membership::MemberState::Suspect:
+        return steering::MemberState::Suspect;
+    case membership::MemberState::Leaving:
+        return steering::MemberState::Leaving;
+    case membership::MemberState::Dead:
+        break;
+    }
+    return steering::MemberState::Dead;
+}
+
+void EntryInstance::publish()
+{
+    if (!this->snapshot)
+        return;
     auto routing = std::make_shared<requests::PublishedRouting>();
-    routing->snapshot = steering::buildSnapshot(*bundle, this->settings.name);
-    routing->view = steering::makeFleetView(*routing->snapshot, steering::MemberState::Live);
-    routing->incarnations.assign(routing->snapshot->instances.size(), 0);
-    if (routing->snapshot->ownInstance)
-        routing->incarnations[*routing->snapshot->ownInstance] = this->state.self.incarnation;
+    routing->snapshot = this->snapshot;
+    routing->view = steering::makeFleetView(*this->snapshot, steering::MemberState::Live);
+    routing->incarnations.assign(this->snapshot->instances.size(), 0);
+    for (std::size_t i = 0; i < this->snapshot->instances.size(); ++i) {
+        const steering::InstanceRoute& instance = this->snapshot->instances[i];
+        routing->view.members[i] = this->memberStateOf(instance);
+        if (const membership::Member* member = membership::findMemberByName(this->fleet->table(), instance.name))
+            routing->incarnations[i] = member->record.incarnation;
+    }
+    if (this->snapshot->ownInstance)
+        routing->incarnations[*this->snapshot->ownInstance] = this->state.self.incarnation;
     this->state.publish(std::move(routing));
-    logInfo("bundle_adopted", { { "version", bundle->version } });
+}
+
+Awaitable<void> EntryInstance::refreshPlatformList()
+{
+    const Result<platform::InstanceList> list = co_await this->platformClient->instances();
+    if (!isOk(list))
+        co_return;
+    const TimePoint now = Clock::now();
+    for (const platform::ListedInstance& server : valueOf(list).backendServers) {
+        const bool isLeaving = server.state == platform::InstanceState::Leaving;
+        this->state.recordPlatformDrain(server.name, isLeaving, now);
+    }
 }
 
 Awaitable<void> EntryInstance::tick()
@@ -112,6 +240,13 @@
         timer.expires_after(tickInterval);
         co_await timer.async_wait(useTuple);
         const TimePoint now = Clock::now();
+        this->fleet->tick();
+        if (this->snapshot && this->snapshot->ownZone)
+            this->fleet->queryZone(this->state.tickServers(now));
+        if (now >= this->nextListRead) {
+            this->nextListRead = now + listReadInterval;
+            asio::co_spawn(this->control, this->refreshPlatformList(), asio::detached);
+        }
         {
             const std::scoped_lock lock(this->state.executionMutex);
             this->state.executions.expire(now);
@@ -126,6 +261,8 @@
     if (this->stopRequested)
         return;
     this->stopRequested = true;
+    this->fleet->leave();
+    this->publish();
     logInfo("stop_requested", { { "instance", this->settings.name } });
     asio::co_spawn(this->control, this->stopGracefully(), asio::detached);
 }
@@ -144,13 +281,17 @@
     logInfo("stopped", { { "requests_in_flight", this->trafficServer->activeExchanges() } });
     this->watcher->stop();
     this->adminServer->close();
-    this->control.stop();
+    this->controlLoop->stop();
 }
 
 Awaitable<void> EntryInstance::handleAdmin(std::shared_ptr<http::Exchange> exchange)
 {
     const auto target = http::parseTarget(exchange->header().target());
     const auto routing = this->state.routing();
+    if (target && target->path.starts_with("/v1/admin")) {
+        co_await admin::serveAdmin(this->adminService, std::move(exchange));
+        co_return;
+    }
     http::Response response;
     if (target && target->path == "/healthz")
         response = http::jsonResponse(200, "{\"healthy\":true}\n");
