--- a/src/tools/capacity/main.cpp
+++ b/src/tools/capacity/main.cpp
@@ -35,9 +35,8 @@
 /// Section 1.3 states no number of backend servers: 10 for each of 6 services in each of 38 zones.
 constexpr std::size_t designServers = 2280;
 
-/// Inputs of the model, as in bench_dissemination: an announcement or fetch opens and authenticates a connection.
+/// Input of the model, as in bench_dissemination: an announcement or fetch opens and authenticates a connection.
 constexpr double callBytes = 1500 + 300;
-constexpr double fetchAnswerBytes = 2000;
 
 double at(const std::vector<Figure>& figures, std::string_view name, std::size_t size)
 {
@@ -69,8 +68,10 @@
     // Two bundles and snapshots: the old ones live until the last reader has let go of them.
     const double memory = 2 * (bundle("bundle_heap_bytes") + bundle("snapshot_heap_bytes"))
         + member("member_table_bytes") + at(figures, "blocks_heap_bytes", designBlocks);
+    // On average an instance serves one fetch a change. FleetLink answers with the full bundle; a delta is not built
+    // yet.
     const double bytes = member("membership_bytes_per_s")
-        + (member("spread_calls_per_change") * callBytes + fetchAnswerBytes) / secondsPerChange;
+        + (member("spread_calls_per_change") * callBytes + bundle("bundle_text_bytes")) / secondsPerChange;
     return { { "core_part", corePart, budgetCorePart }, { "memory_bytes", memory, budgetMemoryBytes },
         { "control_bytes_per_s", bytes, budgetBytesPerSecond },
         { "bundle_in_force_s", member("spread_to_all_s"), budgetSpreadSeconds },
--- a/src/tools/capacity/measure_entry.py
+++ b/src/tools/capacity/measure_entry.py
@@ -1,18 +1,20 @@
 #!/usr/bin/env python3
-"""Measures running entry instances: processor time and resident memory of each, idle in a fleet and with lookups.
+"""Measures running entry instances: processor time, resident memory and RPC bytes of each, idle in a fleet and with
+lookups, and the calls that the platform receives while the fleet is idle and for one accepted change.
 
-Usage: measure_entry.py BIN_FOLDER INSTANCES [INSTANCES ...]   (at most 12, the instances of the example)
+Usage: measure_entry.py BIN_FOLDER ZONE_SIZE [ZONE_SIZE ...]   (at most 20)
 
-For each size it starts the platform simulator and so many entry instances of the Granite Ridge example, moved to
-127.77.0.0/16, and rolls the bundle out through clementinefall-ctl. It then measures 10 s without callers and 5 s in
-which one instance receives the lookups of the design scale (610,000 a second over 750 instances) over 16 connections.
-Python's pace is limited, so `rate` is what was sent.
+For each size it starts the platform simulator and the Granite Ridge example, moved to 127.77.0.0/16, with ZONE_SIZE
+entry instances in the first zone and one in each of the five others, and rolls the bundle out through clementinefall-ctl.
+It then measures 10 s without callers and 5 s in which one instance of the first zone receives the lookups of the design
+scale (610,000 a second over 750 instances) over 16 connections. Python's pace is limited, so `rate` is what was sent.
 """
 import hashlib
 import http.client
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -36,17 +38,24 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK"), resident
 
 
-def example_bundle(instances):
+def rpc_bytes_sent(process):
+    """Bytes sent on the TCP connections of the peer port that are open now."""
+    output = subprocess.run(["ss", "-tinpHO"], check=True, capture_output=True, text=True).stdout
+    sockets = [line for line in output.splitlines() if f"pid={process.pid}," in line and ":20001" in line]
+    return sum(int(match) for line in sockets for match in re.findall(r"bytes_sent:(\d+)", line))
+
+
+def example_bundle(zone_size):
     text = (ROOT / "examples" / "granite-ridge" / "bundle.json").read_text().replace("127.20.", "127.77.")
     bundle = json.loads(text)
-    # Every zone needs an instance; those that are left out are taken from the end of the zones in turn.
-    by_zone = {zone["name"]: [] for zone in bundle["zones"]}
+    first = {}
     for entry in bundle["entryInstances"]:
-        by_zone[entry["zone"]].append(entry)
-    kept = []
-    while len(kept) < instances and any(by_zone.values()):
-        kept += [entries.pop(0) for entries in by_zone.values() if entries]
-    bundle["entryInstances"] = kept[:instances]
+        first.setdefault(entry["zone"], entry)
+    entries = list(first.values())
+    for i in range(1, zone_size):
+        addresses = {name: f"127.77.100.{i}:{20000 + k}" for k, name in enumerate(("traffic", "peer", "admin"))}
+        entries.append({"name": f"extra-{i}", "zone": entries[0]["zone"], **addresses})
+    bundle["entryInstances"] = entries
     return bundle
 
 
@@ -105,21 +114,43 @@
     )
 
 
+def platform_counters():
+    connection = http.client.HTTPConnection(PLATFORM, timeout=5)
+    connection.request("GET", "/counters")
+    counters = json.loads(connection.getresponse().read())
+    return {name: counters.get(name, 0) for name in ("reads", "writes", "lists", "watches", "instanceLists")}
+
+
+def difference(after, before):
+    return ",".join(f"{name}:{after[name] - before[name]}" for name in after)
+
+
+def run_ctl(folder, work, bundle, operator, *arguments):
+    server = bundle["entryInstances"][0]["admin"]
+    command = [folder / "clementinefall-ctl", f"--server={server}", f"--token_file={work}/{operator}.token"]
+    subprocess.run([*command, *arguments], check=True, stdout=subprocess.DEVNULL)
+
+
+def measure_change(folder, work, bundle):
+    """One drain, submitted, signed and accepted; the calls include those of its adoption and repeated watches."""
+    before = platform_counters()
+    run_ctl(folder, work, bundle, "eva", "drain", "backend-server", bundle["services"][0]["servers"][0]["name"])
+    run_ctl(folder, work, bundle, "ben", "sign", "2", f"--key_file={work}/ben.key")
+    run_ctl(folder, work, bundle, "eva", "accept", "2")
+    time.sleep(5)
+    return f"change_calls={difference(platform_counters(), before)}"
+
+
 def roll_out(folder, work, bundle):
-    def ctl(*arguments):
-        server = bundle["entryInstances"][0]["admin"]
-        command = [folder / "clementinefall-ctl", f"--server={server}", f"--token_file={work}/bootstrap.token"]
-        subprocess.run([*command, *arguments], check=True, stdout=subprocess.DEVNULL)
-
-    ctl("submit", f"{work}/bundle.json")
-    ctl("sign", "1", "--signer=ben", f"--key_file={work}/ben.key")
-    ctl("accept", "1")
+    run_ctl(folder, work, bundle, "bootstrap", "submit", f"{work}/bundle.json")
+    run_ctl(folder, work, bundle, "bootstrap", "sign", "1", "--signer=ben", f"--key_file={work}/ben.key")
+    run_ctl(folder, work, bundle, "bootstrap", "accept", "1")
     for entry in bundle["entryInstances"]:
         wait_until(20, lambda: is_ready(entry["admin"]), f"{entry['name']} is ready")
 
 
-def measure(folder, instances, work):
-    bundle = example_bundle(instances)
+def measure(folder, zone_size, work):
+    bundle = example_bundle(zone_size)
     (work / "bundle.json").write_text(json.dumps(bundle))
     keys = subprocess.run(
         [ROOT / "scripts" / "demo_keys.py", work / "bundle.json", work], check=True, capture_output=True, text=True
@@ -144,14 +175,21 @@
             roll_out(folder, work, bundle)
             time.sleep(3)
             entries = processes[1:]
+            sent = rpc_bytes_sent(entries[0])
+            calls = platform_counters()
             before = [usage(process)[0] for process in entries]
             time.sleep(IDLE_SECONDS)
             after = [usage(process) for process in entries]
+            idle_calls = difference(platform_counters(), calls)
+            sent = rpc_bytes_sent(entries[0]) - sent
             parts = sorted((now[0] - then) / IDLE_SECONDS for now, then in zip(after, before))
             print(
-                f"entry instances={instances} idle_core_part_median={parts[len(parts) // 2]:.4f} "
+                f"entry zone_size={zone_size} instances={len(entries)} idle_core_part_median={parts[len(parts) // 2]:.4f} "
                 f"idle_core_part_most={parts[-1]:.4f} idle_rss_kb_most={max(now[1] for now in after)} "
-                + measure_lookups(entries[0], bundle),
+                f"rpc_bytes_per_s={sent / IDLE_SECONDS:.0f} "
+                + measure_lookups(entries[0], bundle)
+                + f" idle_calls={idle_calls} "
+                + measure_change(folder, work, bundle),
                 flush=True,
             )
         except (RuntimeError, subprocess.CalledProcessError) as error:
@@ -169,9 +207,9 @@
 
 
 def main():
-    for instances in sys.argv[2:]:
+    for zone_size in sys.argv[2:]:
         with tempfile.TemporaryDirectory() as work:
-            measure(pathlib.Path(sys.argv[1]), int(instances), pathlib.Path(work))
+            measure(pathlib.Path(sys.argv[1]), int(zone_size), pathlib.Path(work))
 
 
 if __name__ == "__main__":
