Detect silent connections early, ration new connections, bound chunked bodies

Cause: an idempotent request on a connection that had gone silent waited out its deadline; the ration for new connections was not applied; a chunked body was not held to the service's limit; an unknown request class was taken for non-idempotent.

--- a/scripts/run_failures.sh
+++ b/scripts/run_failures.sh
@@ -4,6 +4,8 @@
 #
 # scripts/run_failures.sh [granite-ridge|inat] [SEED] [ROUNDS]
 #
+# FAILURES lists the kinds to draw from, by default all; BIN is the folder of the programs, by default build/bin.
+#
 # Exit status 1: a guarantee was broken or a failure did not happen; 2: the run could not start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -15,7 +17,7 @@
 [ -f "$bundle" ] || { echo "there is no deployment '$deployment' under examples/" >&2; exit 2; }
 scripts/install_packages.sh
 [ -x build/bin/clementinefall-load ] || scripts/build.sh build >/dev/null
-bin=build/bin
+bin=${BIN:-build/bin}
 source scripts/deployment.sh
 
 round_seconds=5
@@ -31,7 +33,7 @@
 status=0
 mapfile -t servers < <(jq -r '.services[].servers[].name' "$bundle")
 random_instance() { echo "${instances[$((RANDOM % ${#instances[@]}))]}"; }
-random_server() { echo "${servers[$((RANDOM % ${#servers[@]}))]}"; }
+random_server() { echo "${FAILURES_SERVER:-${servers[$((RANDOM % ${#servers[@]}))]}}"; }
 expect() { # expect WHAT COMMAND...: the failure must be seen to have happened
     local what=$1
     shift
@@ -83,7 +85,7 @@
     control "/servers/$name/silence"
 }
 
-failures=(kill_and_replace pause_and_resume platform_outage crash_server silence_server)
+read -r -a failures <<<"${FAILURES:-kill_and_replace pause_and_resume platform_outage crash_server silence_server}"
 for ((round = 1; round <= rounds; ++round)); do
     round_end=$((SECONDS + round_seconds))
     "${failures[$((RANDOM % ${#failures[@]}))]}" "$round" || status=1
--- a/src/app/entry/entryinstance.cpp
+++ b/src/app/entry/entryinstance.cpp
@@ -111,7 +111,7 @@
     this->platformClient = std::make_shared<platform::PlatformClient>(this->control.get_executor(), clientSettings);
     const bundle::AdoptionSettings adoptionSettings { this->settings.zone, this->settings.trustedRoots };
     this->watcher = std::make_shared<BundleWatcher>(this->platformClient, adoptionSettings,
-        [this](std::shared_ptr<const bundle::Bundle> bundle) { this->adopt(std::move(bundle)); });
+        [this](const std::shared_ptr<const bundle::Bundle>& bundle) { this->adopt(bundle); });
     this->watcher->start(this->control.get_executor());
     // Operators' commands come in bursts and must not wait behind the instance's own calls, or take their budget.
     clientSettings.callsPerSecond = adminCallsPerSecond;
@@ -175,7 +175,7 @@
 
 void EntryInstance::run() { this->controlLoop->run(); }
 
-void EntryInstance::adopt(std::shared_ptr<const bundle::Bundle> bundle)
+void EntryInstance::adopt(const std::shared_ptr<const bundle::Bundle>& bundle)
 {
     this->snapshot = steering::buildSnapshot(*bundle, this->settings.name);
     if (this->snapshot->ownZone)
--- a/src/app/entry/entryinstance.h
+++ b/src/app/entry/entryinstance.h
@@ -43,7 +43,7 @@
         std::thread runner;
     };
 
-    void adopt(std::shared_ptr<const bundle::Bundle> bundle);
+    void adopt(const std::shared_ptr<const bundle::Bundle>& bundle);
     void publish();
     steering::MemberState memberStateOf(const steering::InstanceRoute& instance) const;
     Awaitable<void> refreshPlatformList();
--- a/src/libs/requests/connectionpool.cpp
+++ b/src/libs/requests/connectionpool.cpp
@@ -59,9 +59,12 @@
     return noteTimeout(server.suspicion, lease.state, receivedAnyByte, now);
 }
 
-bool ConnectionPool::allowNewConnection(const HostPort& address, TimePoint now)
+std::optional<TimePoint> ConnectionPool::newConnectionDelayedUntil(const HostPort& address, TimePoint now)
 {
-    return this->servers[address.text()].ration.take(now);
+    Ration& ration = this->servers[address.text()].ration;
+    if (ration.take(now))
+        return std::nullopt;
+    return ration.availableAt(now);
 }
 
 void ConnectionPool::sweep(TimePoint now)
--- a/src/libs/requests/connectionpool.h
+++ b/src/libs/requests/connectionpool.h
@@ -33,8 +33,8 @@
     /// Returns true when it made them suspect.
     bool noteSilence(const Lease& lease, bool receivedAnyByte, TimePoint now);
 
-    /// True when a new connection to \a address may be opened now.
-    bool allowNewConnection(const HostPort& address, TimePoint now);
+    /// Takes a new connection to \a address from its ration; otherwise gives the time at which to ask again.
+    std::optional<TimePoint> newConnectionDelayedUntil(const HostPort& address, TimePoint now);
 
     /// Closes connections that are too old or idle for too long.
     void sweep(TimePoint now);
--- a/src/libs/requests/requestsession.cpp
+++ b/src/libs/requests/requestsession.cpp
@@ -115,12 +115,15 @@
     const std::string_view requestClass = http::fieldValue(header, HeaderName::requestClass);
     this->isIdempotent = requestClass.empty() ? route.requestClass != bundle::RequestClass::NonIdempotent
                                               : requestClass == "idempotent";
+    if (!requestClass.empty() && requestClass != "idempotent" && requestClass != "non-idempotent")
+        return ResultCode::BadParameter;
     if (this->isIdempotent && route.requestClass == bundle::RequestClass::NonIdempotent)
         return ResultCode::NotRunClassMismatch;
     if (!this->isIdempotent && route.requestClass == bundle::RequestClass::Idempotent)
         return ResultCode::NotRunClassMismatch;
     if (!this->isIdempotent && this->identityText.empty())
         return ResultCode::NotRunMissingIdentity;
+    this->body.maximumBytes = route.maximumBodyBytes;
     const auto length = this->exchange->bodyBytes();
     if (length && *length > route.maximumBodyBytes)
         return ResultCode::NotRunBodyLimit;
@@ -452,11 +455,17 @@
         WallClock::now(), {}, { { "server", server.name } } };
     const TimePoint startedAt = Clock::now();
     this->attempt = std::make_unique<UpstreamAttempt>(this->pool, server.address, this->deadline);
+    this->attempt->rationConnections();
+    // A request that may be sent again does not wait out its deadline on a connection that has gone silent.
+    if (this->isIdempotent && this->body.isComplete && this->ends.empty())
+        this->attempt->setFirstByteTimeout(this->state.firstByteTimeoutOf(this->serviceIndex, this->deadline));
     RequestHeader header = this->headerForServer(attemptSpan.context);
     const AttemptEnd end = co_await this->attempt->run(std::move(header), this->body);
     if (this->attempt->isNewConnection())
         ++this->state.counters.newConnections;
     const Attempt result = this->classify(end, false);
+    if (result.end == AttemptEnd::Answered)
+        this->state.noteLatency(this->serviceIndex, Clock::now() - startedAt);
     const bool isDraining = end == AttemptEnd::Answered
         && !http::fieldValue(this->attempt->answer().header, HeaderName::draining).empty();
     this->state.releaseServer(this->serviceIndex, server, this->outcomeForTable(result.end, startedAt), isDraining);
--- a/src/libs/requests/trafficstate.cpp
+++ b/src/libs/requests/trafficstate.cpp
@@ -46,6 +46,7 @@
     // Servers that run when this instance starts have served before; later ones start cold.
     steering::applySnapshot(this->servers, snapshot, now, !this->hasAppliedServers);
     this->hasAppliedServers = true;
+    this->latencies.assign(snapshot.services.size(), LatencyWindow());
     this->slotHistory.adopt(steering::slotShares(snapshot, ownZone));
     if (steering::isWithinPledge(this->servers, this->slotHistory, now))
         this->slotHistory.confirm();
@@ -78,6 +79,23 @@
     steering::applyShares(this->servers, this->slotHistory, now);
 }
 
+void TrafficState::noteLatency(steering::Index service, Duration latency)
+{
+    const std::scoped_lock lock(this->serverMutex);
+    if (service < this->latencies.size())
+        this->latencies[service].add(latency, Clock::now());
+}
+
+Duration TrafficState::firstByteTimeoutOf(steering::Index service, TimePoint deadline)
+{
+    constexpr double quantile = 0.999;
+    const TimePoint now = Clock::now();
+    const std::scoped_lock lock(this->serverMutex);
+    const auto observed
+        = service < this->latencies.size() ? this->latencies[service].quantile(quantile, now) : std::nullopt;
+    return firstByteTimeout(observed, deadline - now);
+}
+
 bool TrafficState::hasSlots()
 {
     const std::scoped_lock lock(this->serverMutex);
--- a/src/libs/requests/trafficstate.h
+++ b/src/libs/requests/trafficstate.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "base/trace.h"
+#include "requests/connectionhealth.h"
 #include "requests/executiontable.h"
+#include "requests/latencywindow.h"
 #include "requests/retrybudget.h"
 #include "steering/routing.h"
 #include "steering/servertable.h"
@@ -71,6 +73,10 @@
     steering::ShareQuery tickServers(TimePoint now);
     steering::ShareStatus answerShareQuery(const steering::ShareQuery& query);
     void recordShareStatus(const steering::ShareStatus& status, TimePoint now);
+    /// Latency of an answered attempt, for the first-byte timeout.
+    void noteLatency(steering::Index service, Duration latency);
+    Duration firstByteTimeoutOf(steering::Index service, TimePoint deadline);
+
     /// False while a started instance must not use its slots yet.
     bool hasSlots();
     void recordPlatformDrain(std::string_view server, bool isLeaving, TimePoint now);
@@ -92,6 +98,7 @@
     std::mutex serverMutex;
     steering::ServerTable servers;
     steering::ShareHistory slotHistory;
+    std::vector<LatencyWindow> latencies; ///< By service of the snapshot last applied.
     bool hasAppliedServers = false;
 };
 
--- a/src/libs/requests/upstreamattempt.cpp
+++ b/src/libs/requests/upstreamattempt.cpp
@@ -1,5 +1,9 @@
 #include "requests/upstreamattempt.h"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
 namespace clementinefall::requests {
 
 UpstreamAttempt::UpstreamAttempt(ConnectionPool& connectionPool, HostPort target, TimePoint end)
@@ -48,8 +52,7 @@
     this->lease = this->pool.take(this->address, Clock::now());
     const auto connection = this->lease.connection;
     if (this->lease.isNew) {
-        const HostPort target = this->address;
-        const Status status = co_await connection->connect(target, this->deadline);
+        const Status status = co_await this->connect();
         if (!isOk(status))
             co_return this->endOf(errorOf(status));
     }
@@ -57,7 +60,10 @@
     const Status sent = co_await this->send(std::move(header), body);
     if (!isOk(sent) && !this->answeredEarly)
         co_return this->endOf(errorOf(sent));
-    Result<http::ResponseHeader> head = co_await connection->receiveHeader(this->deadline);
+    TimePoint headerDeadline = this->deadline;
+    if (this->firstByteLimit && !this->lease.isNew)
+        headerDeadline = std::min(headerDeadline, Clock::now() + *this->firstByteLimit);
+    Result<http::ResponseHeader> head = co_await connection->receiveHeader(headerDeadline);
     if (!isOk(head)) {
         if (errorOf(head).code == ResultCode::UnknownTimeout)
             this->silent = this->pool.noteSilence(this->lease, connection->hasReceivedBytes(), Clock::now());
@@ -81,6 +87,24 @@
     co_return AttemptEnd::Answered;
 }
 
+Awaitable<Status> UpstreamAttempt::connect()
+{
+    const auto connection = this->lease.connection;
+    while (this->isRationed && !this->cancelled) {
+        const auto delayedUntil = this->pool.newConnectionDelayedUntil(this->address, Clock::now());
+        if (!delayedUntil)
+            break;
+        if (*delayedUntil >= this->deadline)
+            co_return makeError(ResultCode::NotRunDeadline, "{}: no connection in time", this->address.text());
+        asio::steady_timer timer(co_await asio::this_coro::executor, *delayedUntil);
+        co_await timer.async_wait(useTuple);
+    }
+    if (this->cancelled)
+        co_return makeError(ResultCode::NotRunCancelled, "{}", this->address.text());
+    const HostPort target = this->address;
+    co_return co_await connection->connect(target, this->deadline);
+}
+
 Awaitable<Status> UpstreamAttempt::send(http::RequestHeader header, RequestBody& body)
 {
     const auto connection = this->lease.connection;
@@ -91,6 +115,7 @@
         co_return sent;
     if (!body.isComplete) {
         std::string piece(http::relayBufferBytes, '\0');
+        std::uint64_t sentBytes = body.prefix.size();
         while (true) {
             // A server that answers before the body's end has refused the request; the rest is not sent.
             if (connection->hasPendingInput()) {
@@ -107,6 +132,11 @@
             }
             if (valueOf(bytes) == 0)
                 break;
+            sentBytes += valueOf(bytes);
+            if (sentBytes > body.maximumBytes) {
+                connection->close();
+                co_return makeError(ResultCode::BodyTooLarge, "the body is over {} bytes", body.maximumBytes);
+            }
             sent = co_await connection->sendBody(std::string_view(piece).substr(0, valueOf(bytes)), this->deadline);
             if (!isOk(sent))
                 co_return sent;
--- a/src/libs/requests/upstreamattempt.h
+++ b/src/libs/requests/upstreamattempt.h
@@ -16,6 +16,7 @@
     std::optional<std::uint64_t> totalBytes; ///< Nothing for a chunked body that is longer than the prefix.
     bool isComplete = true; ///< The prefix is the whole body, so the request can be sent again.
     std::shared_ptr<http::Exchange> rest; ///< Source of the rest when it is not complete.
+    std::uint64_t maximumBytes = 0; ///< A longer body is broken off.
     bool restConsumed = false; ///< Part of the rest was read, so the request cannot be sent again.
 };
 
@@ -31,6 +32,12 @@
 class UpstreamAttempt {
 public:
     UpstreamAttempt(ConnectionPool& connectionPool, HostPort target, TimePoint end);
+
+    /// New connections wait for the target's ration; for backend servers, which each connection costs time.
+    void rationConnections() { this->isRationed = true; }
+
+    /// Longest wait for the first byte of the answer on a reused connection, which may have gone silent.
+    void setFirstByteTimeout(Duration timeout) { this->firstByteLimit = timeout; }
     ~UpstreamAttempt();
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
@@ -50,6 +57,7 @@
     bool wasSilent() const { return this->silent; }
 
 private:
+    Awaitable<Status> connect();
     Awaitable<Status> send(http::RequestHeader header, RequestBody& body);
     AttemptEnd endOf(const Error& error) const;
 
@@ -58,6 +66,8 @@
     TimePoint deadline;
     ConnectionPool::Lease lease;
     UpstreamAnswer received;
+    std::optional<Duration> firstByteLimit;
+    bool isRationed = false;
     bool cancelled = false;
     bool connected = false;
     bool silent = false;
