Print one result line for each benchmark

scripts/run_bench.sh printed the program's own result line and then its own. The first is now dropped, so that a reader of the whole output finds one verdict.

--- a/scripts/run_bench.sh
+++ b/scripts/run_bench.sh
@@ -41,7 +41,8 @@
 last=$(mktemp)
 trap 'rm -f "$last"' EXIT
 status=0
-"$program" "${arguments[@]}" | tee "$last" || status=$?
+# The program's own result line is replaced by the one below, so that there is only one.
+"$program" "${arguments[@]}" | tee "$last" | sed -u '/^RESULT /d' || status=$?
 # bench_dissemination reports as bundle-spread, its name before this script existed.
 result=$(tail -n 1 "$last" | sed -n -E 's/^RESULT [^ ]+ (pass|fail)( .*)?$/\1\2/p')
 if [ -z "$result" ]; then
