--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "http/sockets.h"
+
 #include "base/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,28 +15,8 @@
 
 namespace {
 
-/// Bytes and time that a connection may still send after an early response. Without it the close would reset the
-/// connection and the peer could lose the response.
-constexpr std::size_t maximumDiscardBytes = 4 * 1024 * 1024;
-constexpr milliseconds discardTimeout { 1000 };
-
 constexpr milliseconds acceptRetryDelay { 100 };
 
-Awaitable<void> discardInput(beast::tcp_stream& stream)
-{
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    std::vector<char> scratch(relayBufferBytes);
-    std::size_t discarded = 0;
-    stream.expires_after(discardTimeout);
-    while (discarded < maximumDiscardBytes) {
-        const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(scratch), useTuple);
-        if (error)
-            co_return;
-        discarded += bytes;
-    }
-}
-
 } // namespace
 
 struct Server::Connection {
@@ -59,18 +41,9 @@
 
 Status Server::listen(const HostPort& address)
 {
-    beast::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
-    const auto attempt = [&error](auto&& step) {
-        if (!error)
-            step();
-    };
-    attempt([&] { this->acceptor.open(endpoint.protocol(), error); });
-    attempt([&] { this->acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
-    attempt([&] { this->acceptor.bind(endpoint, error); });
-    attempt([&] { this->acceptor.listen(asio::socket_base::max_listen_connections, error); });
-    if (error)
-        return makeError(ResultCode::SettingsBadAddress, "cannot listen on {}: {}", address.text(), error.message());
+    Status opened = openAcceptor(this->acceptor, address);
+    if (!isOk(opened))
+        return opened;
     asio::co_spawn(*this->contexts.front(), this->acceptLoop(this->shared_from_this()), asio::detached);
     return okStatus();
 }
--- a/src/libs/requests/requestsession.cpp
+++ b/src/libs/requests/requestsession.cpp
@@ -1,11 +1,12 @@
 #include "requests/requestsession.h"
 
+#include "requests/relayfields.h"
+
 #include "base/log.h"
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace clementinefall::requests {
 
@@ -17,44 +18,6 @@
 
 namespace {
 
-/// Fields that belong to one connection or that each hop sets itself.
-constexpr std::array hopFields {
-    std::string_view("Connection"),
-    std::string_view("Keep-Alive"),
-    std::string_view("Proxy-Connection"),
-    std::string_view("TE"),
-    std::string_view("Trailer"),
-    std::string_view("Transfer-Encoding"),
-    std::string_view("Upgrade"),
-    std::string_view("Expect"),
-    std::string_view("Content-Length"),
-    std::string_view("Host"),
-    HeaderName::deadlineMs,
-    HeaderName::hop,
-    HeaderName::attempt,
-    HeaderName::traceParent,
-    HeaderName::outcome,
-    HeaderName::result,
-    HeaderName::notRun,
-    HeaderName::draining,
-};
-
-template <typename Fields> void eraseHopFields(Fields& fields)
-{
-    for (const std::string_view name : hopFields)
-        fields.erase(name);
-}
-
-/// Path after `/v1/services/<service>`, with the query.
-std::string targetWithinService(std::string_view target, std::string_view service)
-{
-    const std::string prefix = fmt::format("/v1/services/{}", service);
-    std::string rest(target.substr(std::min(prefix.size(), target.size())));
-    if (rest.empty() || rest.front() != '/')
-        rest.insert(rest.begin(), '/');
-    return rest;
-}
-
 /// Expected time for an exchange with a server of the zone; a retry with less time left would only add load.
 constexpr milliseconds shortestRetry { 20 };
 
@@ -342,33 +305,7 @@
         const AttemptEnd sent = co_await this->attempt->run(std::move(header), this->body);
         const Attempt result = this->classify(sent, true);
         homeCode = result.peerCode;
-        switch (result.end) {
-        case AttemptEnd::ConnectRefused:
-            end = ForwardEnd::ConnectRefused;
-            break;
-        case AttemptEnd::NothingWritten:
-            end = ForwardEnd::NothingWritten;
-            break;
-        case AttemptEnd::TimedOut:
-            end = ForwardEnd::TimedOut;
-            break;
-        case AttemptEnd::AnswerCut:
-            end = ForwardEnd::AnswerCut;
-            break;
-        case AttemptEnd::AnswerInvalid:
-            end = ForwardEnd::AnswerInvalid;
-            break;
-        case AttemptEnd::CancelledSent:
-        case AttemptEnd::CancelledUnsent:
-            end = ForwardEnd::CallerLeft;
-            break;
-        case AttemptEnd::WrittenAndLost:
-            end = ForwardEnd::WrittenAndLost;
-            break;
-        default:
-            end = ForwardEnd::HomeAnswered;
-            break;
-        }
+        end = forwardEndOf(result.end);
     }
     const ResultCode code = codeOfForward(end, homeCode);
     if (end == ForwardEnd::HomeAnswered)
--- a/src/tools/backend/simserver.cpp
+++ b/src/tools/backend/simserver.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "http/sockets.h"
 #include "http/target.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -25,9 +26,6 @@
 /// Longer than any entry instance keeps an idle connection, so that the entry instance closes first.
 constexpr milliseconds idleTimeout { 600'000 };
 constexpr milliseconds reopenRetryDelay { 100 };
-/// Limits of the input that is read and dropped after an early response, so that the close does not reset it.
-constexpr milliseconds discardTimeout { 1000 };
-constexpr std::size_t maximumDiscardBytes = 4 * 1024 * 1024;
 /// A body up to this size is read before admission, so that its hash is known when the execution starts.
 constexpr std::uint64_t earlyBodyBytes = 64 * 1024;
 constexpr std::uint64_t maximumWorkMs = 600'000;
@@ -50,16 +48,14 @@
     socket.close(ignored);
 }
 
-/// Reads and drops input until the peer closes, \a limit bytes have arrived or the stream's timeout passes.
-Awaitable<void> dropInput(beast::tcp_stream& stream, std::size_t limit)
+/// Reads and drops input until the peer closes or the stream's timeout passes.
+Awaitable<void> dropInput(beast::tcp_stream& stream)
 {
     std::vector<char> scratch(http::relayBufferBytes);
-    std::size_t dropped = 0;
-    while (dropped < limit) {
+    while (true) {
         const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(scratch), useTuple);
         if (error)
             co_return;
-        dropped += bytes;
     }
 }
 
@@ -125,22 +121,9 @@
 
 Status SimServer::open()
 {
-    beast::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(this->server.address.host, error), this->server.address.port);
-    const auto attempt = [&error](auto&& step) {
-        if (!error)
-            step();
-    };
-    attempt([&] { this->acceptor.open(endpoint.protocol(), error); });
-    attempt([&] { this->acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
-    attempt([&] { this->acceptor.bind(endpoint, error); });
-    attempt([&] { this->acceptor.listen(asio::socket_base::max_listen_connections, error); });
-    if (error) {
-        beast::error_code ignored;
-        this->acceptor.close(ignored);
-        return makeError(ResultCode::SettingsBadAddress, "server {} cannot listen on {}: {}", this->server.name,
-            this->server.address.text(), error.message());
-    }
+    const Status opened = http::openAcceptor(this->acceptor, this->server.address);
+    if (!isOk(opened))
+        return makeError(errorOf(opened).code, "server {}: {}", this->server.name, errorOf(opened).message);
     this->server.address.port = this->acceptor.local_endpoint().port();
     this->warmingSince = Clock::now();
     asio::co_spawn(this->context, this->acceptLoop(this->shared_from_this()), asio::detached);
@@ -226,7 +209,7 @@
     exchange->stopWatching();
     if (connection->silent) {
         connection->stream.expires_never();
-        co_await dropInput(connection->stream, std::numeric_limits<std::size_t>::max());
+        co_await dropInput(connection->stream);
         co_return false;
     }
     if (!exchange->hasCompletedResponse()) {
@@ -235,10 +218,7 @@
     }
     if (exchange->isKeptAlive())
         co_return true;
-    beast::error_code ignored;
-    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    connection->stream.expires_after(discardTimeout);
-    co_await dropInput(connection->stream, maximumDiscardBytes);
+    co_await http::discardInput(connection->stream);
     co_return false;
 }
 
--- a/src/tools/link/tcprelay.cpp
+++ b/src/tools/link/tcprelay.cpp
@@ -1,5 +1,7 @@
 #include "link/tcprelay.h"
 
+#include "http/sockets.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -76,22 +78,9 @@
 {
     if (this->acceptor.is_open())
         return okStatus();
-    beast::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(this->state->listen.host, error), this->state->listen.port);
-    const auto attempt = [&error](auto&& step) {
-        if (!error)
-            step();
-    };
-    attempt([&] { this->acceptor.open(endpoint.protocol(), error); });
-    attempt([&] { this->acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
-    attempt([&] { this->acceptor.bind(endpoint, error); });
-    attempt([&] { this->acceptor.listen(asio::socket_base::max_listen_connections, error); });
-    if (error) {
-        beast::error_code ignored;
-        this->acceptor.close(ignored);
-        return makeError(ResultCode::SettingsBadAddress, "relay {} cannot listen on {}: {}", this->state->name,
-            this->state->listen.text(), error.message());
-    }
+    const Status opened = http::openAcceptor(this->acceptor, this->state->listen);
+    if (!isOk(opened))
+        return makeError(errorOf(opened).code, "relay {}: {}", this->state->name, errorOf(opened).message);
     this->state->listen.port = this->acceptor.local_endpoint().port();
     asio::co_spawn(this->context, this->acceptLoop(this->shared_from_this()), asio::detached);
     return okStatus();
