--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -15,7 +15,7 @@
 backend_control=127.0.0.1:17001
 read -r root_key bootstrap_digest < <(scripts/demo_keys.py "$bundle" "$work")
 scripts/write_settings.py "$bundle" "$work/settings" "$platform" "$root_key" "$bootstrap_digest" \
-    "$(printf %064x 20261204)"
+    "$(printf %064x 20261204)" "${TRACE_TARGET:-}"
 
 declare -A pid_of
 start() {
