Install python3 where it is missing

Cause: the demo's scripts for keys and settings need it, and a fresh Debian need not have it. Conclusion: install_packages.sh names all interpreters that the scripts use.

--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ clang cmake ninja-build ccache clang-format clang-tidy pkg-config git curl jq procps
+    g++ clang cmake ninja-build ccache clang-format clang-tidy pkg-config git curl jq procps python3
     libboost1.81-dev libboost-json1.81-dev libcapnp-dev capnproto prometheus-cpp-dev libgflags-dev
     libfmt-dev catch2 librapidcheck-dev libxxhash-dev libssl-dev libsodium-dev libclang-rt-14-dev
 )
