Use addPolicyTrail() in the bundle watcher

Cause: the watcher filtered the versions of the trail and read its entries by itself, beside the tested function of the bundle slice. Change: the watcher only reads the objects; addPolicyTrail() makes the trail. Behaviour stays as it is. Conclusion: one piece of code serves the watcher and the explorer test.

--- a/src/app/entry/bundlewatcher.cpp
+++ b/src/app/entry/bundlewatcher.cpp
@@ -150,22 +150,22 @@
 Awaitable<Status> BundleWatcher::readTrail(
     std::vector<std::uint64_t> versions, bundle::Candidate& candidate, Objects& objects)
 {
-    const bundle::ObjectReader reader = [&objects](const std::string& key) { return objects[key]; };
+    bundle::RolloutView view;
+    view.accepted = candidate;
     for (const std::uint64_t version : versions) {
         if (version <= this->adoption.acceptedVersion || version >= candidate.content.bundle->version)
             continue;
+        view.policyTrail.push_back(version);
         for (const std::string& key : { bundle::bundleKey(version), bundle::signOffsKey(version) }) {
             const Status read = co_await this->readObject(key, objects);
             if (!isOk(read))
                 co_return read;
         }
-        const auto entry = bundle::readSignedBundle(version, reader);
-        if (!isOk(entry))
-            co_return errorOf(entry);
-        if (valueOf(entry))
-            candidate.policyTrail.push_back(*valueOf(entry));
     }
-    co_return okStatus();
+    const bundle::ObjectReader reader = [&objects](const std::string& key) { return objects[key]; };
+    Status added = bundle::addPolicyTrail(view, this->adoption.acceptedVersion, reader);
+    candidate.policyTrail = view.accepted->policyTrail;
+    co_return added;
 }
 
 void BundleWatcher::apply(bundle::AdoptionStep step, const bundle::Candidate* candidate)
