--- a/scripts/check_style.sh
+++ b/scripts/check_style.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 folder=${1:-build}
-mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' | grep -v 'capnp\.')
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v 'capnp\.')
 [ "${#sources[@]}" -gt 0 ]
 clang-format --dry-run --Werror "${sources[@]}"
 echo "format: ${#sources[@]} files are clean"
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -21,7 +21,7 @@
 start() {
     local name=$1
     shift
-    "$@" 2>"$work/$name.log" &
+    "$@" >"$work/$name.log" 2>&1 &
     pid_of[$name]=$!
     pids+=("$!")
 }
--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -24,6 +24,7 @@
         fmt::print("{}: the settings are valid\n", FLAGS_settings);
         return 0;
     }
+    setLogOutput(LogOutput::StandardOutput);
     setLogLevel(logLevelFromName(report.settings.logLevel));
     entry::EntryInstance instance(report.settings);
     const Status started = instance.start();
--- a/src/libs/base/log.cpp
+++ b/src/libs/base/log.cpp
@@ -2,6 +2,9 @@
 
 #include <fmt/chrono.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <cstdio>
 #include <mutex>
@@ -12,7 +15,11 @@
 
 constexpr unsigned maximumLinesPerEventAndSecond = 20;
 
+/// Lines up to this length reach a pipe whole or not at all (PIPE_BUF).
+constexpr std::size_t maximumLineBytes = 4095;
+
 std::atomic<LogLevel> currentLevel { LogLevel::Info };
+std::atomic<LogOutput> currentOutput { LogOutput::StandardError };
 
 std::string_view levelName(LogLevel level)
 {
@@ -105,6 +112,49 @@
     return verdict;
 }
 
+namespace {
+
+/// Writes to standard output without waiting. Returns false when the line was not taken.
+bool writeWithoutWaiting(std::string line)
+{
+    if (line.size() > maximumLineBytes)
+        line.resize(maximumLineBytes);
+    line += '\n';
+    return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
+void writeLine(const std::string& line)
+{
+    static std::uint64_t lostLines = 0; // Guarded by the mutex of writeLog().
+    if (currentOutput.load(std::memory_order_relaxed) == LogOutput::StandardError) {
+        fmt::print(stderr, "{}\n", line);
+        return;
+    }
+    if (lostLines > 0) {
+        const std::string report
+            = formatLogLine(WallClock::now(), LogLevel::Warning, "log_lines_lost", { { "count", lostLines } });
+        if (!writeWithoutWaiting(report)) {
+            ++lostLines;
+            return;
+        }
+        lostLines = 0;
+    }
+    if (!writeWithoutWaiting(line))
+        ++lostLines;
+}
+
+} // namespace
+
+void setLogOutput(LogOutput output)
+{
+    currentOutput = output;
+    if (output == LogOutput::StandardOutput) {
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags != -1)
+            ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
 void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (level < currentLevel.load(std::memory_order_relaxed))
@@ -114,12 +164,11 @@
     const std::scoped_lock lock(mutex);
     const auto verdict = limiter.admit(event, Clock::now());
     if (verdict.suppressedBefore > 0) {
-        fmt::print(stderr, "{}\n",
-            formatLogLine(WallClock::now(), LogLevel::Warning, "log_lines_suppressed",
-                { { "of", event }, { "count", verdict.suppressedBefore } }));
+        writeLine(formatLogLine(WallClock::now(), LogLevel::Warning, "log_lines_suppressed",
+            { { "of", event }, { "count", verdict.suppressedBefore } }));
     }
     if (verdict.allowed)
-        fmt::print(stderr, "{}\n", formatLogLine(WallClock::now(), level, event, fields));
+        writeLine(formatLogLine(WallClock::now(), level, event, fields));
 }
 
 } // namespace clementinefall
--- a/src/libs/base/log.h
+++ b/src/libs/base/log.h
@@ -27,6 +27,13 @@
     std::string value;
 };
 
+/// Where lines go. Programs whose standard output is their result log to standard error.
+enum class LogOutput : std::uint8_t { StandardError, StandardOutput };
+
+/// Default: StandardError. Standard output is set to non-blocking, so that a reader that falls behind costs lines and
+/// never holds up a request; lost lines are counted in a later line.
+void setLogOutput(LogOutput output);
+
 /// Lines below this level are dropped. Default: Info.
 void setLogLevel(LogLevel level);
 
@@ -62,7 +69,7 @@
     std::unordered_map<std::string, Window> windows;
 };
 
-/// Writes one line to standard error. Safe from every thread.
+/// Writes one line. Safe from every thread.
 void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
 inline void logDebug(std::string_view event, std::initializer_list<LogField> fields)
--- a/src/libs/base/resultcode.cpp
+++ b/src/libs/base/resultcode.cpp
@@ -129,6 +129,8 @@
     ResultCodeInfo { ResultCode::PlatformBadAnswer, Outcome::NotRun, "platform-bad-answer",
         "The answer of the platform could not be parsed." },
     ResultCodeInfo { ResultCode::PlatformBudget, Outcome::NotRun, "platform-budget", "The call budget is spent." },
+    ResultCodeInfo { ResultCode::PlatformHistoryLost, Outcome::NotRun, "platform-history-lost",
+        "The platform no longer knows what changed since the last call." },
     ResultCodeInfo {
         ResultCode::PeerUnreachable, Outcome::NotRun, "peer-unreachable", "The entry instance cannot be reached." },
     ResultCodeInfo {
--- a/src/libs/base/resultcode.h
+++ b/src/libs/base/resultcode.h
@@ -86,6 +86,7 @@
     PlatformTimeout = 7003,
     PlatformBadAnswer = 7004,
     PlatformBudget = 7005,
+    PlatformHistoryLost = 7006,
 
     PeerUnreachable = 8000,
     PeerBadMessage = 8001,
--- /dev/null
+++ b/src/libs/forwarding/beat.cpp
@@ -0,0 +1,109 @@
+#include "forwarding/beat.h"
+
+#include <boost/json.hpp>
+
+namespace clementinefall::forwarding {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned beatVersion = 1;
+
+std::string_view stateName(InstanceState state)
+{
+    switch (state) {
+    case InstanceState::Starting:
+        return "starting";
+    case InstanceState::Ready:
+        return "ready";
+    case InstanceState::Stopping:
+        return "stopping";
+    }
+    return "starting";
+}
+
+json::object writeMark(const requests::CrashMark& mark, TimePoint now)
+{
+    return { { "fingerprint", requests::formatFingerprint(mark.fingerprint) }, { "service", mark.service },
+        { "server", mark.server }, { "reporter", mark.reporter }, { "number", mark.number },
+        { "in_flight", mark.inFlight }, { "age_ms", std::chrono::duration_cast<milliseconds>(now - mark.at).count() } };
+}
+
+requests::CrashMark readMark(const json::object& object, TimePoint now)
+{
+    requests::CrashMark mark;
+    const auto fingerprint = requests::parseFingerprint(std::string_view(object.at("fingerprint").as_string()));
+    if (!fingerprint)
+        throw std::invalid_argument("fingerprint");
+    mark.fingerprint = *fingerprint;
+    mark.service = std::string(object.at("service").as_string());
+    mark.server = std::string(object.at("server").as_string());
+    mark.reporter = object.at("reporter").to_number<std::uint64_t>();
+    mark.number = object.at("number").to_number<std::uint64_t>();
+    mark.inFlight = object.at("in_flight").to_number<std::uint32_t>();
+    mark.at = now - milliseconds(object.at("age_ms").to_number<std::uint32_t>());
+    return mark;
+}
+
+} // namespace
+
+std::string encodeBeat(const Beat& beat, TimePoint now)
+{
+    json::object message { { "version", beatVersion }, { "name", beat.name }, { "incarnation", beat.incarnation },
+        { "state", stateName(beat.state) } };
+    std::string text = json::serialize(message);
+    const auto addIfFits = [&](const char* key, json::value value) {
+        json::object larger = message;
+        larger[key] = std::move(value);
+        std::string longer = json::serialize(larger);
+        if (longer.size() > maximumBeatBytes)
+            return;
+        message = std::move(larger);
+        text = std::move(longer);
+    };
+    if (!beat.crashMarks.empty()) {
+        json::array marks;
+        for (const requests::CrashMark& mark : beat.crashMarks)
+            marks.push_back(writeMark(mark, now));
+        addIfFits("crashes", std::move(marks));
+    }
+    if (!beat.inFlight.empty()) {
+        json::object loads;
+        for (const auto& [server, count] : beat.inFlight)
+            loads[server] = count;
+        addIfFits("in_flight", std::move(loads));
+    }
+    return text;
+}
+
+Result<Beat> decodeBeat(std::string_view text, TimePoint now)
+{
+    try {
+        const json::value document = json::parse({ text.data(), text.size() });
+        const json::object& message = document.as_object();
+        if (message.at("version").to_number<unsigned>() != beatVersion)
+            return makeError(ResultCode::PeerVersion, "unknown version of a beat");
+        Beat beat;
+        beat.name = std::string(message.at("name").as_string());
+        beat.incarnation = message.at("incarnation").to_number<std::uint64_t>();
+        const std::string_view state = message.at("state").as_string();
+        for (const InstanceState known : { InstanceState::Starting, InstanceState::Ready, InstanceState::Stopping }) {
+            if (stateName(known) == state)
+                beat.state = known;
+        }
+        if (const json::value* loads = message.if_contains("in_flight")) {
+            for (const auto& item : loads->as_object())
+                beat.inFlight[std::string(item.key())] = item.value().to_number<unsigned>();
+        }
+        if (const json::value* marks = message.if_contains("crashes")) {
+            for (const json::value& mark : marks->as_array())
+                beat.crashMarks.push_back(readMark(mark.as_object(), now));
+        }
+        return beat;
+    } catch (const std::exception& error) {
+        return makeError(ResultCode::PeerBadMessage, "beat: {}", error.what());
+    }
+}
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/callerserver.cpp
@@ -0,0 +1,92 @@
+#include "forwarding/callerserver.h"
+
+#include "base/log.h"
+#include "http/sockets.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace clementinefall::forwarding {
+
+namespace {
+
+/// Pause after a failed accept, for example without descriptors; a tight loop would make it worse.
+constexpr milliseconds acceptRetryDelay { 100 };
+
+} // namespace
+
+CallerServer::CallerServer(asio::any_io_executor serverExecutor, std::shared_ptr<SessionContext> sessionContext,
+    std::size_t maximumConnections)
+    : executor(std::move(serverExecutor))
+    , context(std::move(sessionContext))
+    , maximum(maximumConnections)
+    , acceptor(this->executor)
+{
+}
+
+Status CallerServer::listen(const HostPort& address)
+{
+    Status opened = http::openAcceptor(this->acceptor, address);
+    if (isOk(opened)) {
+        const auto self = this->shared_from_this();
+        asio::co_spawn(
+            this->executor, [self]() -> Awaitable<void> { return self->acceptLoop(); }, asio::detached);
+    }
+    return opened;
+}
+
+void CallerServer::forgetClosed()
+{
+    std::erase_if(this->sessions, [](const auto& session) { return session.expired(); });
+}
+
+std::size_t CallerServer::openConnections()
+{
+    this->forgetClosed();
+    return this->sessions.size();
+}
+
+Awaitable<void> CallerServer::acceptLoop()
+{
+    const auto self = this->shared_from_this();
+    while (this->acceptor.is_open()) {
+        auto [error, socket] = co_await this->acceptor.async_accept(useTuple);
+        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
+            co_return;
+        if (error) {
+            logWarning("accept_failed", { { "error", error.message() } });
+            asio::steady_timer timer(this->executor, acceptRetryDelay);
+            co_await timer.async_wait(useTuple);
+            continue;
+        }
+        if (this->sessions.size() >= this->maximum && this->openConnections() >= this->maximum) {
+            // Nothing was read, so the caller may send its request elsewhere.
+            logWarning("connection_refused",
+                { { "code", number(ResultCode::TooManyConnections) }, { "open", this->sessions.size() } });
+            continue;
+        }
+        auto session = std::make_shared<CallerSession>(std::move(socket), this->context);
+        this->sessions.push_back(session);
+        asio::co_spawn(
+            this->executor, [session]() -> Awaitable<void> { return session->run(); }, asio::detached);
+    }
+}
+
+void CallerServer::stopAccepting()
+{
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+void CallerServer::closeIdle()
+{
+    this->forgetClosed();
+    for (const auto& weak : this->sessions) {
+        const auto session = weak.lock();
+        if (session && session->isIdle())
+            session->close();
+    }
+}
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/callerserver.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/settings.h"
+#include "forwarding/callersession.h"
+
+#include <memory>
+#include <vector>
+
+namespace clementinefall::forwarding {
+
+/// Accepts callers' connections on one address.
+class CallerServer : public std::enable_shared_from_this<CallerServer> {
+public:
+    CallerServer(asio::any_io_executor serverExecutor, std::shared_ptr<SessionContext> sessionContext,
+        std::size_t maximumConnections);
+
+    /// Binds and accepts. Error: SettingsBadAddress.
+    Status listen(const HostPort& address);
+    std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+
+    void stopAccepting();
+    /// Closes the connections that have no request on them.
+    void closeIdle();
+    std::size_t openConnections();
+
+private:
+    Awaitable<void> acceptLoop();
+    void forgetClosed();
+
+    asio::any_io_executor executor;
+    std::shared_ptr<SessionContext> context;
+    std::size_t maximum;
+    asio::ip::tcp::acceptor acceptor;
+    std::vector<std::weak_ptr<CallerSession>> sessions;
+};
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/configuration.cpp
@@ -0,0 +1,46 @@
+#include "forwarding/configuration.h"
+
+namespace clementinefall::forwarding {
+
+std::string normalizedHost(std::string_view host)
+{
+    std::string result(host.substr(0, host.find(':')));
+    for (char& c : result) {
+        if (c >= 'A' && c <= 'Z')
+            c = static_cast<char>(c - 'A' + 'a');
+    }
+    return result;
+}
+
+const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path)
+{
+    const std::string wanted = normalizedHost(host);
+    const std::string_view plainPath = path.substr(0, path.find('?'));
+    const Route* best = nullptr;
+    for (const Route& route : configuration.routes) {
+        if (route.host != wanted || !plainPath.starts_with(route.pathPrefix))
+            continue;
+        if (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+const std::string& nextService(const Route& route, ServiceRotation& rotation)
+{
+    if (route.services.size() == 1)
+        return route.services.front().service;
+    rotation.credits.resize(route.services.size(), 0.0);
+    double total = 0;
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < route.services.size(); ++i) {
+        rotation.credits[i] += route.services[i].weight;
+        total += route.services[i].weight;
+        if (rotation.credits[i] > rotation.credits[best])
+            best = i;
+    }
+    rotation.credits[best] -= total;
+    return route.services[best].service;
+}
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/configuration.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementinefall::forwarding {
+
+/// What may be repeated of a route's requests.
+enum class RouteKind : std::uint8_t {
+    Idempotent, ///< May run more than once.
+    NonIdempotent, ///< Runs at most once for each attempt of the caller.
+    Upload, ///< Large body; otherwise as NonIdempotent.
+};
+
+struct WeightedService {
+    std::string service;
+    double weight = 1.0;
+};
+
+struct Route {
+    std::string name;
+    std::string host; ///< Lower case, without a port.
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    RouteKind kind = RouteKind::NonIdempotent;
+    Duration timeout {}; ///< Longest time that a caller is kept waiting.
+    Duration targetLatency {}; ///< An answer within this time is in time.
+    unsigned priority = 0; ///< 0 is the most urgent.
+    unsigned maximumServers = 1; ///< Backend servers to which one attempt of a caller may be sent.
+    bool hasAffinity = false;
+    std::vector<WeightedService> services; ///< At least one.
+    std::vector<std::string> allowedRegions; ///< Empty allows every region.
+
+    bool isIdempotent() const { return this->kind == RouteKind::Idempotent; }
+};
+
+struct Service {
+    std::string name;
+    std::string healthPath;
+    unsigned maximumConnections = 0; ///< That one backend server accepts from all callers together.
+    Duration coldTime {}; ///< Time for which a backend server is cold after its start.
+    double coldRequestsPerSecond = 0; ///< Requests a second that a cold backend server tolerates.
+};
+
+/// Bounds on what callers may send.
+struct CallerLimits {
+    std::uint32_t maximumHeaderBytes = 16U * 1024U;
+    std::uint64_t maximumBodyBytes = 64ULL * 1024 * 1024;
+    Duration headerTimeout = seconds(3);
+    Duration idleTimeout = seconds(15);
+};
+
+/// One version of the configuration, complete and checked.
+struct Configuration {
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::map<std::string, Service, std::less<>> services;
+    CallerLimits limits;
+};
+
+/// The route with the longest prefix of \a path among those of \a host; nullptr when there is none. \a host may have a
+/// port and capitals; \a path may have a query.
+const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path);
+
+/// Lower-case host without its port.
+std::string normalizedHost(std::string_view host);
+
+/// Smooth weighted round robin over the services of one route. Every window of requests has the weights' shares, which
+/// random choice reaches only on average.
+struct ServiceRotation {
+    std::vector<double> credits;
+};
+
+/// Name of the service for the next request. Services with a weight of zero get none.
+const std::string& nextService(const Route& route, ServiceRotation& rotation);
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/forwarder.cpp
@@ -0,0 +1,623 @@
+#include "forwarding/forwarder.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace clementinefall::forwarding {
+
+using requests::AttemptEnd;
+
+namespace {
+
+/// Time for a connect beyond a round trip; the rest of a second goes to another server.
+constexpr milliseconds connectBase { 250 };
+constexpr unsigned connectRoundTrips = 3;
+
+/// Servers that may fail to accept a connection before a request is refused. Nothing was sent to them.
+constexpr unsigned maximumConnectFailures = 3;
+
+/// A caller is answered this long before its deadline, so that the answer still reaches it.
+constexpr milliseconds answerMargin { 15 };
+
+/// Advice to come back while the instance holds no configuration.
+constexpr milliseconds startupRetryAfter { 500 };
+
+/// Part of the fleet's retry budget that this design spends; the rest covers instances that count each other late.
+constexpr double usedBudgetPart = 0.5;
+
+/// Crashes of several servers within this time have a common cause, and not a request.
+constexpr milliseconds massCrashTime { 1500 };
+
+/// Time by which a server's answer may pass its forecast before its silence counts against it.
+constexpr milliseconds silenceAllowance { 700 };
+constexpr int silenceForecasts = 3;
+
+/// A waiting request looks for room at least this often.
+constexpr milliseconds waitingInterval { 60 };
+
+/// An address that belongs to another server is not tried again before the store has had time to say so.
+constexpr seconds misdirectedPause { 2 };
+
+/// Range of the advice to come back to a caller that was refused: about one working time, and short enough to be
+/// honoured within usual deadlines.
+constexpr milliseconds shortestRefusalPause { 80 };
+constexpr milliseconds longestRefusalPause { 800 };
+constexpr seconds longestHoldRetryAfter { 5 };
+
+/// What a neighbour said of its requests is forgotten after four beats without a new one.
+constexpr milliseconds neighbourLifetime { 1000 };
+
+/// Weight of the newest sample in a server's slowness.
+constexpr double slownessWeight = 0.12;
+constexpr double leastSlowness = 0.4;
+constexpr double mostSlowness = 8.0;
+
+std::string_view endName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::ShedByServer:
+        return "shed";
+    case AttemptEnd::RefusedByPeer:
+        return "refused";
+    case AttemptEnd::ConnectRefused:
+        return "connect_failed";
+    case AttemptEnd::NothingWritten:
+        return "nothing_written";
+    case AttemptEnd::WrittenAndLost:
+        return "lost";
+    case AttemptEnd::TimedOut:
+        return "timed_out";
+    case AttemptEnd::AnswerCut:
+        return "cut";
+    case AttemptEnd::AnswerInvalid:
+        return "invalid";
+    case AttemptEnd::NotDecided:
+        return "not_decided";
+    case AttemptEnd::CancelledUnsent:
+    case AttemptEnd::CancelledSent:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+bool isServerFault(const ServerAnswer& answer)
+{
+    switch (answer.end) {
+    case AttemptEnd::Answered:
+        return answer.answer.status >= 500;
+    case AttemptEnd::ShedByServer:
+    case AttemptEnd::CancelledSent:
+    case AttemptEnd::CancelledUnsent:
+        return false;
+    default:
+        return true;
+    }
+}
+
+} // namespace
+
+struct Forwarder::Job {
+    std::shared_ptr<RequestTicket> ticket;
+    std::shared_ptr<const ForwardedRequest> request;
+    std::shared_ptr<const Configuration> configuration;
+    const Route* route = nullptr;
+    std::string service;
+    std::shared_ptr<RouteState> state; ///< Outlives a change of the configuration.
+    TimePoint deadline {};
+    TimePoint target {};
+    std::uint64_t object = 0;
+    requests::Fingerprint fingerprint;
+    unsigned arrivals = 0; ///< Servers that the request was written to.
+    unsigned connectFailures = 0;
+    bool mayHaveRun = false;
+    std::vector<ServerPointer> tried;
+    std::vector<ServerPointer> servers; ///< List that the last placement chose from.
+    std::string trail; ///< `server:end` of each attempt, for the log.
+};
+
+void RequestTicket::cancel()
+{
+    this->isCancelled = true;
+    if (this->onCancel) {
+        const auto interrupt = std::move(this->onCancel);
+        this->onCancel = {};
+        interrupt();
+    }
+}
+
+Forwarder::Forwarder(asio::any_io_executor forwarderExecutor, ForwarderSettings forwarderSettings,
+    std::shared_ptr<ServerCatalog> serverCatalog)
+    : executor(std::move(forwarderExecutor))
+    , settings(std::move(forwarderSettings))
+    , catalog(std::move(serverCatalog))
+    , tracker(systemSeededRandom()())
+    , random(systemSeededRandom())
+{
+    this->catalog->onGone = [this](const ServerPointer& server) { this->connections.drop(server); };
+}
+
+bool Forwarder::configure(std::shared_ptr<const Configuration> newConfiguration)
+{
+    if (this->currentConfiguration && newConfiguration->version <= this->currentConfiguration->version)
+        return false;
+    this->currentConfiguration = std::move(newConfiguration);
+    std::map<std::string, std::shared_ptr<RouteState>> kept;
+    for (const Route& route : this->currentConfiguration->routes) {
+        const auto old = this->routeStates.find(route.name);
+        if (old == this->routeStates.end())
+            continue;
+        old->second->rotation = {};
+        kept[route.name] = old->second;
+    }
+    this->routeStates = std::move(kept);
+    return true;
+}
+
+std::shared_ptr<Forwarder::RouteState> Forwarder::stateOf(const Route& route)
+{
+    auto& state = this->routeStates[route.name];
+    if (!state) {
+        state = std::make_shared<RouteState>();
+        state->work = initialWorkEstimate(route.targetLatency);
+    }
+    return state;
+}
+
+requests::RetryBudget& Forwarder::budgetOf(const std::string& service)
+{
+    const auto found = this->budgets.find(service);
+    if (found != this->budgets.end())
+        return found->second;
+    const double ratio = this->settings.retryRatio * usedBudgetPart;
+    const double allowance = this->settings.retryAllowance * usedBudgetPart
+        / static_cast<double>(std::max<std::size_t>(1, this->instanceCount));
+    const requests::RetryBudgetLimits limits {
+        .firstAttemptsPerExtra = ratio > 0 ? static_cast<unsigned>(1.0 / ratio + 0.5) : 0,
+        .allowance = static_cast<unsigned>(allowance),
+    };
+    return this->budgets.emplace(service, requests::RetryBudget(limits)).first->second;
+}
+
+void Forwarder::setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize, std::size_t fleetSize)
+{
+    this->zoneInstanceCount = std::max<std::size_t>(1, zoneSize);
+    this->instancesOfRegion = std::move(regionInstances);
+    const std::size_t count = std::max<std::size_t>(1, fleetSize);
+    if (count == this->instanceCount)
+        return;
+    this->instanceCount = count;
+    const double allowance = this->settings.retryAllowance * usedBudgetPart / static_cast<double>(count);
+    for (auto& [service, budget] : this->budgets)
+        budget.setAllowance(static_cast<unsigned>(allowance));
+}
+
+bool Forwarder::mayUseCold(const BackendServer& server, TimePoint now) const
+{
+    if (!isCold(server, now))
+        return true;
+    const auto service = this->currentConfiguration->services.find(server.entry.service);
+    if (service == this->currentConfiguration->services.end())
+        return false;
+    // The senders are chosen from this region only, so servers of other regions are left to theirs.
+    return server.locality != Locality::OtherRegion
+        && isColdSender(server.entry.id, this->settings.instance, this->instancesOfRegion)
+        && now - server.lastArrival >= coldInterval(service->second.coldRequestsPerSecond);
+}
+
+Placement Forwarder::place(Job& job, TimePoint now)
+{
+    job.servers = this->catalog->serversOf(job.service);
+    const auto& regions = job.route->allowedRegions;
+    if (!regions.empty()) {
+        std::erase_if(job.servers, [&regions](const ServerPointer& server) {
+            return std::find(regions.begin(), regions.end(), server->region) == regions.end();
+        });
+    }
+    std::vector<const BackendServer*> views;
+    std::vector<char> cold;
+    std::vector<std::size_t> excluded;
+    views.reserve(job.servers.size());
+    cold.reserve(job.servers.size());
+    bool hasOwnRegion = false;
+    std::map<std::string, double> otherSlots;
+    for (std::size_t i = 0; i < job.servers.size(); ++i) {
+        const BackendServer& server = *job.servers[i];
+        views.push_back(&server);
+        cold.push_back(this->mayUseCold(server, now) ? 1 : 0);
+        if (std::find(job.tried.begin(), job.tried.end(), job.servers[i]) != job.tried.end())
+            excluded.push_back(i);
+        if (!isUsable(server))
+            continue;
+        if (server.locality != Locality::OtherRegion)
+            hasOwnRegion = true;
+        else if (now >= server.avoidUntil)
+            otherSlots[server.region] += server.entry.slots;
+    }
+    PlacementRequest request {
+        .object = job.object,
+        .bodyBytes = job.request->body.size(),
+        .work = job.state->work,
+        .timeLeft = job.deadline - now,
+        .targetLeft = job.target - now,
+        .allowsOtherRegions = !hasOwnRegion,
+    };
+    const auto spill = this->spills.find(job.service);
+    if (hasOwnRegion && spill != this->spills.end() && isSpilled(spill->second, job.object)) {
+        const std::string region = spillTarget(otherSlots, job.object);
+        std::vector<std::size_t> elsewhere = excluded;
+        for (std::size_t i = 0; i < views.size(); ++i) {
+            if (views[i]->region != region)
+                elsewhere.push_back(i);
+        }
+        request.allowsOtherRegions = true;
+        const Placement remote = choosePlacement(views, cold, elsewhere, request, this->settings.placement, now);
+        if (remote.server)
+            return remote;
+        request.allowsOtherRegions = false;
+    }
+    return choosePlacement(views, cold, excluded, request, this->settings.placement, now);
+}
+
+Awaitable<bool> Forwarder::waitForRoom(Job& job)
+{
+    const TimePoint now = Clock::now();
+    WaitingRoom& room = this->waitingRooms[job.service];
+    const WaitingRank rank { .priority = job.route->priority,
+        .isLate = now + job.state->work.recent > job.target,
+        .target = job.target,
+        .arrival = room.nextArrival() };
+    double slots = 0;
+    for (const ServerPointer& server : job.servers) {
+        if (isUsable(*server) && server->locality != Locality::OtherRegion && now >= server->avoidUntil)
+            slots += server->entry.slots;
+    }
+    // The neighbours' waiting requests compete for the same slots.
+    const double sharing = std::max<std::size_t>(1, this->zoneInstanceCount);
+    const Duration work = job.state->work.recent;
+    const auto queueTime = slots <= 0 ? Duration::max()
+                                      : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(work)
+                                          * (static_cast<double>(room.ahead(rank)) + 1) * sharing / slots);
+    const TimePoint until = job.deadline - work - answerMargin;
+    if (slots <= 0 || now + queueTime >= until)
+        co_return false;
+    const auto self = this->shared_from_this();
+    const auto ticket = job.ticket;
+    const std::function<void(std::function<void()>)> setCancel
+        = [ticket](std::function<void()> cancel) { ticket->onCancel = std::move(cancel); };
+    // Room that opens elsewhere, by another instance's requests ending, is noticed by looking again.
+    const TimePoint lookAgain = std::min(until, now + waitingInterval);
+    co_await room.wait(this->executor, rank, lookAgain, setCancel);
+    co_return !ticket->isCancelled && Clock::now() < until;
+}
+
+Awaitable<Forwarder::Outcome> Forwarder::forward(std::shared_ptr<RequestTicket> ticket)
+{
+    const auto self = this->shared_from_this();
+    Job job;
+    job.ticket = ticket;
+    job.request = ticket->request;
+    job.configuration = this->currentConfiguration;
+    if (!job.configuration)
+        co_return this->refuse(
+            job, makeError(ResultCode::NotRunNoBundle, "no configuration is known yet"), startupRetryAfter);
+    job.route = findRoute(*job.configuration, job.request->host, job.request->target);
+    if (job.route == nullptr) {
+        co_return this->refuse(job,
+            makeError(ResultCode::NotFound, "no route for {}{}", job.request->host, job.request->target), Duration {});
+    }
+    job.state = this->stateOf(*job.route);
+    job.service = nextService(*job.route, job.state->rotation);
+    const TimePoint start = job.request->receivedAt;
+    job.deadline = start + job.route->timeout;
+    if (job.request->timeLeft)
+        job.deadline = std::min<TimePoint>(job.deadline, start + *job.request->timeLeft);
+    job.deadline -= answerMargin;
+    job.target = start + job.route->targetLatency;
+    if (job.route->hasAffinity && !job.request->affinityKey.empty())
+        job.object = hash64(job.request->affinityKey, hash64(job.route->name)) | 1U;
+    StreamHash bodyHash;
+    bodyHash.update(job.request->body);
+    job.fingerprint = requests::fingerprintOf(
+        job.service, job.request->method, job.request->host + job.request->target, bodyHash.digest());
+    if (this->heldBack.isQuarantined(job.fingerprint, Clock::now())) {
+        co_return this->refuse(
+            job, makeError(ResultCode::NotRunHeldBack, "copies of it crashed backend servers"), longestHoldRetryAfter);
+    }
+    this->budgetOf(job.service).noteFirstAttempt(Clock::now());
+
+    Error last = makeError(ResultCode::NotRunNoServer, "no backend server of {} can take it", job.service);
+    std::optional<ServerAnswer> failed; ///< A server's own failure, passed on when no retry does better.
+    while (!ticket->isCancelled) {
+        const TimePoint now = Clock::now();
+        if (now >= job.deadline) {
+            last = job.mayHaveRun ? makeError(ResultCode::UnknownTimeout, "no answer before the deadline")
+                                  : makeError(ResultCode::NotRunDeadline, "the deadline passed before it was sent");
+            break;
+        }
+        const Placement placement = this->place(job, now);
+        if (!placement.server) {
+            if (job.mayHaveRun || failed)
+                break;
+            if (job.arrivals == 0 && co_await this->waitForRoom(job))
+                continue;
+            if (last.code == ResultCode::NotRunNoServer && placement.wasTooLate)
+                last = makeError(ResultCode::NotRunNoCapacity, "no server of {} would answer in time", job.service);
+            break;
+        }
+        if (job.arrivals > 0 && !this->budgetOf(job.service).takeExtraAttempt(now)) {
+            if (!job.mayHaveRun)
+                last = makeError(ResultCode::NotRunRetryBudget, "the retry budget of {} is spent", job.service);
+            break;
+        }
+        const ServerPointer server = job.servers[*placement.server];
+        const std::optional<ServerAnswer> answer = co_await this->attempt(job, server, placement.forecast);
+        if (!answer) {
+            last = makeError(ResultCode::NotRunConnectRefused, "{} did not accept a connection", server->entry.id);
+            if (++job.connectFailures >= maximumConnectFailures)
+                break;
+            continue;
+        }
+        if (ticket->isCancelled)
+            break;
+        if (answer->wasStreamed) {
+            co_return this->finish(job,
+                Outcome {
+                    .answer = answer->answer, .wasStreamed = true, .isCut = answer->end != AttemptEnd::Answered });
+        }
+        if (answer->end == AttemptEnd::Answered) {
+            const bool retry = answer->answer.status >= 500 && this->shouldRetry(job, *answer, Clock::now());
+            if (!retry)
+                co_return this->finish(job, Outcome { .answer = answer->answer });
+            failed = answer;
+            continue;
+        }
+        last = makeError(requests::codeOfAttempt(answer->end), "{}: {}", server->entry.id, answer->detail);
+        if (!requests::isProvenNotRun(answer->end))
+            job.mayHaveRun = true;
+        if (!this->shouldRetry(job, *answer, Clock::now()))
+            break;
+    }
+    if (ticket->isCancelled)
+        co_return this->finish(job,
+            Outcome { .answer = answerForError(makeError(ResultCode::UnknownCancelled, "the caller left"),
+                          job.request->id, this->settings.names, std::nullopt) });
+    if (failed)
+        co_return this->finish(job, Outcome { .answer = failed->answer });
+    if (job.mayHaveRun && outcomeOf(last.code) == clementinefall::Outcome::NotRun)
+        last = makeError(ResultCode::UnknownConnectionLost, "an earlier attempt may have run; then {}", last.message);
+    co_return this->refuse(job, last, this->retryAfterFor(job));
+}
+
+bool Forwarder::shouldRetry(const Job& job, const ServerAnswer& answer, TimePoint now)
+{
+    if (job.arrivals >= job.route->maximumServers || answer.wasStreamed)
+        return false;
+    const bool notRun = requests::isProvenNotRun(answer.end);
+    if (!notRun && !job.route->isIdempotent())
+        return false;
+    return now + job.state->work.recent < job.deadline;
+}
+
+Awaitable<std::optional<ServerAnswer>> Forwarder::attempt(
+    Job& job, const ServerPointer& server, const Forecast& expected)
+{
+    const auto ticket = job.ticket;
+    const unsigned loadAtSend = static_cast<unsigned>(outstanding(*server, Clock::now()));
+    const bool wasCold = isCold(*server, Clock::now());
+    job.tried.push_back(server);
+    ++server->inFlight;
+    if (wasCold)
+        server->lastArrival = Clock::now();
+    auto connection = this->connections.take(server, Clock::now());
+    if (!connection) {
+        connection = std::make_shared<ServerConnection>(this->executor, server);
+        ticket->onCancel = [connection] { connection->close(); };
+        const Duration timeout = connectBase + connectRoundTrips * server->connectTime;
+        const Duration left = job.deadline - Clock::now();
+        const bool connected = co_await connection->connect(std::min(timeout, left));
+        ticket->onCancel = {};
+        // The server may have left, or turned cold, while the connection was opened.
+        const bool stillFits = isUsable(*server) && (wasCold || !isCold(*server, Clock::now()));
+        if (!connected || ticket->isCancelled || !stillFits) {
+            connection->close();
+            --server->inFlight;
+            if (!connected && !ticket->isCancelled)
+                this->noteConnectFailure(server, Clock::now());
+            job.trail += fmt::format("{}:connect ", server->entry.id);
+            co_return std::nullopt;
+        }
+    }
+    ++job.arrivals;
+    this->counters.notePlacement(expected.isRecent);
+    const TimePoint sentAt = Clock::now();
+    if (server->silentSince == TimePoint {}) {
+        server->silentSince = sentAt;
+        server->silenceLimit = silenceAllowance + silenceForecasts * expected.completion;
+    }
+    if (job.object != 0)
+        server->recentObjects.note(job.object, sentAt);
+    const std::uint64_t mark = this->tracker.noteSent(server->entry.id, { job.fingerprint, job.service });
+    ticket->onCancel = [connection] { connection->close(); };
+    std::string head = encodeRequestHead(*job.request, this->settings.names, server->entry.id, job.deadline - sentAt);
+    ServerAnswer answer = co_await connection->exchange(
+        job.request, std::move(head), this->settings.names, job.deadline, *ticket->sink);
+    ticket->onCancel = {};
+    --server->inFlight;
+    if (answer.closedByServer)
+        this->noteCrash(server, Clock::now());
+    this->tracker.noteEnded(server->entry.id, mark);
+    this->recordEnd(job, server, expected, answer, loadAtSend, sentAt);
+    this->connections.giveBack(server, connection);
+    this->waitingRooms[job.service].wake(1);
+    co_return answer;
+}
+
+void Forwarder::recordEnd(Job& job, const ServerPointer& server, const Forecast& expected, const ServerAnswer& answer,
+    unsigned loadAtSend, TimePoint sentAt)
+{
+    const TimePoint now = Clock::now();
+    job.trail += fmt::format("{}:{} ", server->entry.id, endName(answer.end));
+    this->counters.noteAttempt(job.service, std::string(endName(answer.end)));
+    if (answer.isMisdirected)
+        server->avoidUntil = now + misdirectedPause;
+    if (answer.load) {
+        server->report = *answer.load;
+        server->report.ownInFlight = server->inFlight + 1;
+        server->report.at = now;
+    }
+    const bool heardFrom = answer.end == AttemptEnd::Answered || answer.end == AttemptEnd::ShedByServer
+        || answer.end == AttemptEnd::AnswerCut || answer.end == AttemptEnd::AnswerInvalid;
+    if (heardFrom || server->inFlight == 0)
+        server->silentSince = heardFrom && server->inFlight > 0 ? now : TimePoint {};
+    if (answer.end == AttemptEnd::TimedOut)
+        this->connections.drop(server);
+    if (answer.end != AttemptEnd::CancelledSent)
+        recordAttempt(*server, !isServerFault(answer));
+    if (answer.end == AttemptEnd::ShedByServer && job.object != 0)
+        server->recentObjects.forget(job.object);
+    if (answer.end != AttemptEnd::Answered || answer.answer.status >= 300)
+        return;
+    this->heldBack.noteSuccess(job.fingerprint, now);
+    if (loadAtSend >= server->entry.slots)
+        return; // Part of the time was spent waiting.
+    const Duration took = now - sentAt;
+    const Duration work = std::max<Duration>(took - server->connectTime, milliseconds(1));
+    const Duration usual = expected.isRecent ? job.state->work.recent : job.state->work.fresh;
+    const double ratio = std::chrono::duration<double>(work) / std::chrono::duration<double>(usual);
+    server->slowness += slownessWeight * (std::clamp(ratio, leastSlowness, mostSlowness) - server->slowness);
+    if (!isCold(*server, now))
+        recordWork(job.state->work, expected.isRecent, work);
+}
+
+void Forwarder::noteConnectFailure(const ServerPointer& server, TimePoint now)
+{
+    // When it comes back under its id, it is cold before its entry says so.
+    const auto service = this->currentConfiguration->services.find(server->entry.service);
+    if (service != this->currentConfiguration->services.end())
+        server->coldUntil = std::max(server->coldUntil, now + service->second.coldTime);
+    server->recentObjects.clear();
+    this->connections.drop(server);
+}
+
+void Forwarder::noteCrash(const ServerPointer& server, TimePoint now)
+{
+    const std::vector<requests::CrashMark> marks = this->tracker.noteCrash(server->entry.id, now);
+    const bool isMass = now - this->lastCrash < massCrashTime && this->lastCrashServer != server->entry.id;
+    this->lastCrash = now;
+    this->lastCrashServer = server->entry.id;
+    logWarning("server_connection_lost",
+        { { "server", server->entry.id }, { "in_flight", marks.size() }, { "several_servers", isMass } });
+    if (isMass)
+        return;
+    for (const requests::CrashMark& mark : marks) {
+        if (this->heldBack.merge(mark, now))
+            this->freshMarks.push_back(mark);
+    }
+}
+
+std::vector<requests::CrashMark> Forwarder::takeCrashMarks() { return std::exchange(this->freshMarks, {}); }
+
+Duration Forwarder::retryAfterFor(const Job& job)
+{
+    // Spread, so that those who are refused together do not return together.
+    const double factor = 0.5 + randomUnit(this->random);
+    const auto work = std::chrono::duration<double>(job.state->work.recent) * factor;
+    return std::clamp<Duration>(std::chrono::duration_cast<Duration>(work), shortestRefusalPause, longestRefusalPause);
+}
+
+Forwarder::Outcome Forwarder::refuse(Job& job, Error error, Duration retryAfter)
+{
+    Outcome outcome;
+    outcome.answer = answerForError(error, job.request->id, this->settings.names, retryAfter);
+    return this->finish(job, std::move(outcome));
+}
+
+Forwarder::Outcome Forwarder::finish(Job& job, Outcome outcome)
+{
+    const Duration took = Clock::now() - job.request->receivedAt;
+    const std::string routeName = job.route == nullptr ? "none" : job.route->name;
+    this->counters.noteRequest(routeName, outcome.answer.code, outcome.answer.status, took);
+    const bool isGood = outcome.answer.status < 300 && !outcome.isCut;
+    // One line for each request that did not simply succeed, and for those that needed more than one attempt.
+    if (!isGood || job.arrivals > 1) {
+        logInfo("request",
+            { { "id", job.request->id }, { "route", routeName }, { "service", job.service },
+                { "status", outcome.answer.status }, { "code", number(outcome.answer.code) },
+                { "ms", std::chrono::duration_cast<milliseconds>(took).count() },
+                { "left_ms", std::chrono::duration_cast<milliseconds>(job.deadline - Clock::now()).count() },
+                { "config", job.configuration ? job.configuration->version : 0 }, { "attempts", job.trail },
+                { "cut", outcome.isCut }, { "cancelled", job.ticket->isCancelled },
+                { "why",
+                    isGood ? std::string_view("retried") : std::string_view(outcome.answer.body).substr(0, 160) } });
+    }
+    return outcome;
+}
+
+void Forwarder::noteNeighbour(
+    const std::string& instance, const std::map<std::string, unsigned>& inFlight, TimePoint now)
+{
+    auto& before = this->neighbourLoads[instance];
+    for (const auto& [id, count] : before) {
+        const ServerPointer server = this->catalog->find(id);
+        if (server && !inFlight.contains(id))
+            server->neighbourInFlight.erase(instance);
+    }
+    for (const auto& [id, count] : inFlight) {
+        const ServerPointer server = this->catalog->find(id);
+        if (server)
+            server->neighbourInFlight[instance] = count;
+    }
+    before = inFlight;
+    this->neighbourHeardAt[instance] = now;
+}
+
+void Forwarder::tick(TimePoint now)
+{
+    for (auto& [instance, heardAt] : this->neighbourHeardAt) {
+        if (now - heardAt > neighbourLifetime && !this->neighbourLoads[instance].empty())
+            this->noteNeighbour(instance, {}, heardAt);
+    }
+    this->connections.closeExpired(now);
+    this->heldBack.expire(now);
+    const Duration elapsed = this->lastTick == TimePoint {} ? Duration {} : now - this->lastTick;
+    this->lastTick = now;
+    if (!this->currentConfiguration)
+        return;
+    for (const auto& [name, service] : this->currentConfiguration->services) {
+        double ownLoad = 0;
+        double ownSlots = 0;
+        double otherLoad = 0;
+        double otherSlots = 0;
+        for (const ServerPointer& server : this->catalog->serversOf(name)) {
+            if (!isUsable(*server) || now < server->avoidUntil || isCold(*server, now))
+                continue;
+            const bool isOwn = server->locality != Locality::OtherRegion;
+            (isOwn ? ownLoad : otherLoad) += outstanding(*server, now);
+            (isOwn ? ownSlots : otherSlots) += server->entry.slots;
+        }
+        const auto room = this->waitingRooms.find(name);
+        if (room != this->waitingRooms.end())
+            ownLoad += static_cast<double>(room->second.size());
+        if (ownSlots > 0 && otherSlots > 0)
+            updateSpill(this->spills[name], ownLoad / ownSlots, otherLoad / otherSlots, elapsed);
+    }
+}
+
+std::map<std::string, unsigned> Forwarder::inFlightByServer() const
+{
+    std::map<std::string, unsigned> result;
+    if (!this->currentConfiguration)
+        return result;
+    for (const auto& [name, service] : this->currentConfiguration->services) {
+        for (const ServerPointer& server : this->catalog->serversOf(name)) {
+            if (server->inFlight > 0)
+                result[server->entry.id] = server->inFlight;
+        }
+    }
+    return result;
+}
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/forwarder.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "base/random.h"
+#include "forwarding/configuration.h"
+#include "forwarding/forwardingmetrics.h"
+#include "forwarding/placement.h"
+#include "forwarding/regionspill.h"
+#include "forwarding/serverpool.h"
+#include "forwarding/waitingroom.h"
+#include "requests/quarantine.h"
+#include "requests/retrybudget.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace clementinefall::forwarding {
+
+struct ForwarderSettings {
+    std::string instance; ///< Name of this entry instance.
+    WireNames names;
+    PlacementLimits placement;
+    double retryRatio = 0.2; ///< Repeats that the whole fleet may send to a service, by its requests.
+    double retryAllowance = 0; ///< Repeats beyond that ratio in a window, for the whole fleet.
+    Duration retryWindow = seconds(10);
+};
+
+/// A request on its way, as its caller's connection sees it.
+struct RequestTicket {
+    std::shared_ptr<ForwardedRequest> request;
+    AnswerSink* sink = nullptr; ///< Takes a long answer in pieces.
+    bool isCancelled = false;
+    std::function<void()> onCancel; ///< Set while something can be interrupted.
+
+    /// The caller has left: whatever still runs for the request is ended.
+    void cancel();
+};
+
+/// Carries requests of callers to backend servers. Runs on one thread.
+class Forwarder : public std::enable_shared_from_this<Forwarder> {
+public:
+    Forwarder(asio::any_io_executor forwarderExecutor, ForwarderSettings forwarderSettings,
+        std::shared_ptr<ServerCatalog> serverCatalog);
+
+    /// Puts a configuration in force unless a newer one is. Returns whether it was taken.
+    bool configure(std::shared_ptr<const Configuration> newConfiguration);
+    const std::shared_ptr<const Configuration>& configuration() const { return this->currentConfiguration; }
+
+    /// The answer for a request; an answer that was streamed has `wasStreamed` set in the outcome.
+    struct Outcome {
+        CallerAnswer answer;
+        bool wasStreamed = false;
+        bool isCut = false; ///< A streamed answer broke off; the caller's connection must be reset.
+    };
+    Awaitable<Outcome> forward(std::shared_ptr<RequestTicket> ticket);
+
+    /// Names of the live entry instances of the region, by which senders to cold servers are chosen; the number of
+    /// those in the own zone, and of all, which share the retry budget.
+    void setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize, std::size_t fleetSize);
+
+    /// Records the requests that an entry instance of the same zone has at each backend server.
+    void noteNeighbour(const std::string& instance, const std::map<std::string, unsigned>& inFlight, TimePoint now);
+
+    /// Regular work, about four times a second.
+    void tick(TimePoint now);
+
+    /// Requests of this instance at each backend server, for the neighbours.
+    std::map<std::string, unsigned> inFlightByServer() const;
+
+    requests::Quarantine& quarantine() { return this->heldBack; }
+    /// Marks of crashes that this instance saw since the last call.
+    std::vector<requests::CrashMark> takeCrashMarks();
+
+    ForwardingMetrics& metrics() { return this->counters; }
+    ServerPool& pool() { return this->connections; }
+
+private:
+    struct Job;
+    struct RouteState {
+        ServiceRotation rotation;
+        WorkEstimate work;
+    };
+
+    std::shared_ptr<RouteState> stateOf(const Route& route);
+    Placement place(Job& job, TimePoint now);
+    bool mayUseCold(const BackendServer& server, TimePoint now) const;
+    Awaitable<bool> waitForRoom(Job& job);
+    Awaitable<std::optional<ServerAnswer>> attempt(Job& job, const ServerPointer& server, const Forecast& expected);
+    void recordEnd(Job& job, const ServerPointer& server, const Forecast& expected, const ServerAnswer& answer,
+        unsigned loadAtSend, TimePoint sentAt);
+    void noteConnectFailure(const ServerPointer& server, TimePoint now);
+    void noteCrash(const ServerPointer& server, TimePoint now);
+    bool shouldRetry(const Job& job, const ServerAnswer& answer, TimePoint now);
+    Duration retryAfterFor(const Job& job);
+    Outcome finish(Job& job, Outcome outcome);
+    Outcome refuse(Job& job, Error error, Duration retryAfter);
+    requests::RetryBudget& budgetOf(const std::string& service);
+
+    asio::any_io_executor executor;
+    ForwarderSettings settings;
+    std::shared_ptr<ServerCatalog> catalog;
+    std::shared_ptr<const Configuration> currentConfiguration;
+    std::map<std::string, std::shared_ptr<RouteState>> routeStates; ///< By the route's name.
+    std::map<std::string, requests::RetryBudget> budgets;
+    std::map<std::string, WaitingRoom> waitingRooms; ///< By service.
+    std::map<std::string, std::map<std::string, unsigned>> neighbourLoads; ///< By instance and server.
+    std::map<std::string, TimePoint> neighbourHeardAt;
+    std::map<std::string, RegionSpill> spills; ///< By service.
+    TimePoint lastTick {};
+    ServerPool connections;
+    requests::Quarantine heldBack;
+    requests::InFlightTracker tracker;
+    std::vector<requests::CrashMark> freshMarks;
+    TimePoint lastCrash {};
+    std::string lastCrashServer;
+    std::vector<std::string> instancesOfRegion;
+    std::size_t instanceCount = 1;
+    std::size_t zoneInstanceCount = 1;
+    Random random;
+    ForwardingMetrics counters;
+};
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/forwardingmetrics.cpp
@@ -0,0 +1,86 @@
+#include "forwarding/forwardingmetrics.h"
+
+#include <fmt/format.h>
+#include <prometheus/text_serializer.h>
+
+namespace clementinefall::forwarding {
+
+namespace {
+
+template <typename T>
+prometheus::Family<T>& family(auto builder, prometheus::Registry& registry, const char* name, const char* help)
+{
+    return builder.Name(name).Help(help).Register(registry);
+}
+
+/// Bounds in seconds; from a quick answer to the longest usual deadline.
+const prometheus::Histogram::BucketBoundaries latencyBounds { 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2.5, 5, 10 };
+
+} // namespace
+
+ForwardingMetrics::ForwardingMetrics()
+    : registry(std::make_shared<prometheus::Registry>())
+    , requests(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry, "clementinefall_requests_total",
+          "Finished requests by route, status and result code."))
+    , attempts(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry, "clementinefall_attempts_total",
+          "Sends to backend servers by service and end."))
+    , placements(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry,
+          "clementinefall_placements_total", "Placements by whether the server recently handled the object."))
+    , storeCalls(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry,
+          "clementinefall_store_calls_total", "Calls to the platform's store by kind of object."))
+    , latencies(family<prometheus::Histogram>(prometheus::BuildHistogram(), *this->registry,
+          "clementinefall_request_seconds", "Time from the whole request to its answer, by route."))
+    , gauges(family<prometheus::Gauge>(
+          prometheus::BuildGauge(), *this->registry, "clementinefall_state", "State of this entry instance."))
+{
+}
+
+void ForwardingMetrics::noteRequest(const std::string& route, ResultCode code, unsigned status, Duration took)
+{
+    auto& counter = this->counterCache[fmt::format("r/{}/{}/{}", route, status, number(code))];
+    if (counter == nullptr) {
+        counter = &this->requests.Add(
+            { { "route", route }, { "status", std::to_string(status) }, { "code", std::to_string(number(code)) } });
+    }
+    counter->Increment();
+    auto& histogram = this->latencyCache[route];
+    if (histogram == nullptr)
+        histogram = &this->latencies.Add({ { "route", route } }, latencyBounds);
+    histogram->Observe(std::chrono::duration<double>(took).count());
+}
+
+void ForwardingMetrics::noteAttempt(const std::string& service, const std::string& end)
+{
+    auto& counter = this->counterCache[fmt::format("a/{}/{}", service, end)];
+    if (counter == nullptr)
+        counter = &this->attempts.Add({ { "service", service }, { "end", end } });
+    counter->Increment();
+}
+
+void ForwardingMetrics::notePlacement(bool isRecent)
+{
+    auto& counter = this->counterCache[isRecent ? "p/recent" : "p/fresh"];
+    if (counter == nullptr)
+        counter = &this->placements.Add({ { "object", isRecent ? "recent" : "fresh" } });
+    counter->Increment();
+}
+
+void ForwardingMetrics::noteStoreCall(const std::string& kind, bool succeeded)
+{
+    auto& counter = this->counterCache[fmt::format("s/{}/{}", kind, succeeded)];
+    if (counter == nullptr)
+        counter = &this->storeCalls.Add({ { "kind", kind }, { "result", succeeded ? "ok" : "failed" } });
+    counter->Increment();
+}
+
+void ForwardingMetrics::setGauge(const std::string& name, double value)
+{
+    this->gauges.Add({ { "name", name } }).Set(value);
+}
+
+std::string ForwardingMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(this->registry->Collect());
+}
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/placement.cpp
@@ -0,0 +1,165 @@
+#include "forwarding/placement.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace clementinefall::forwarding {
+
+namespace {
+
+/// Part of the target latency that a repeated request is assumed to take before any was measured.
+constexpr double assumedRecentPart = 0.4;
+
+/// Weight of the newest sample in the averages of the working time.
+constexpr double newestWeight = 0.1;
+
+/// Servers that are equal otherwise differ by up to this part of the working time, by the hash of server and object.
+/// All instances then send a new object to the same server.
+constexpr double rendezvousSpread = 0.3;
+
+/// Part of the working time that each used slot adds: prefers emptier servers, which answer a little faster.
+constexpr double usedSlotCost = 0.15;
+
+/// Cost of a server that fails all requests, in working times of the route.
+constexpr double failureCost = 12.0;
+
+/// How much longer cold servers work, before it has been measured.
+constexpr double coldSlowness = 2.0;
+
+/// Shortest and longest advice to come back. Below, callers would return before anything has changed; above, they
+/// would not honour it within their deadlines.
+constexpr milliseconds shortestRetryAfter { 100 };
+constexpr milliseconds longestRetryAfter { 1000 };
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(duration) * factor);
+}
+
+void average(Duration& value, unsigned& samples, Duration sample)
+{
+    // The first samples count fully, so that the assumption does not linger.
+    ++samples;
+    const double weight = std::max(newestWeight, 1.0 / samples);
+    value = scaled(value, 1 - weight) + scaled(sample, weight);
+}
+
+Duration distancePrice(const BackendServer& server, std::size_t bodyBytes, const PlacementLimits& limits)
+{
+    if (server.locality == Locality::SameZone)
+        return {};
+    const Duration base = server.locality == Locality::SameRegion ? limits.zoneChange : limits.regionChange;
+    return base + scaled(limits.perKilobyte, static_cast<double>(bodyBytes) / 1024.0);
+}
+
+double unitHash(std::string_view text, std::uint64_t seed)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    return static_cast<double>(hash64(text, seed)) / range;
+}
+
+bool isSilent(const BackendServer& server, TimePoint now)
+{
+    return server.silentSince != TimePoint {} && server.inFlight > 0 && now - server.silentSince > server.silenceLimit;
+}
+
+} // namespace
+
+WorkEstimate initialWorkEstimate(Duration targetLatency)
+{
+    return { .fresh = targetLatency, .recent = scaled(targetLatency, assumedRecentPart) };
+}
+
+void recordWork(WorkEstimate& estimate, bool wasRecent, Duration work)
+{
+    if (wasRecent)
+        average(estimate.recent, estimate.recentSamples, work);
+    else
+        average(estimate.fresh, estimate.freshSamples, work);
+}
+
+Forecast forecast(
+    const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits, TimePoint now)
+{
+    Forecast result;
+    result.isRecent = request.object != 0 && server.recentObjects.contains(request.object, now);
+    const double slowness = std::max(server.slowness, isCold(server, now) ? coldSlowness : 0.0);
+    const Duration work = scaled(result.isRecent ? request.work.recent : request.work.fresh, slowness);
+    const double slots = std::max(1U, server.entry.slots);
+    const double load = outstanding(server, now);
+    const double ahead = std::max(0.0, load + 1 - slots) / slots;
+    // Those who wait are mostly repeats of objects that the server knows.
+    const Duration wait = scaled(request.work.recent, slowness * ahead);
+    result.completion = server.connectTime + wait + work;
+    result.cost = result.completion + distancePrice(server, request.bodyBytes, limits)
+        + scaled(request.work.fresh, usedSlotCost * load / slots)
+        + scaled(request.work.fresh, failureCost * server.failureRate * server.failureRate);
+    if (request.object != 0 && !result.isRecent)
+        result.cost += scaled(request.work.fresh, rendezvousSpread * unitHash(server.entry.id, request.object));
+    return result;
+}
+
+Obstacle obstacleOf(const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits,
+    bool mayUseCold, TimePoint now)
+{
+    if (!isUsable(server))
+        return Obstacle::Unusable;
+    if (server.locality == Locality::OtherRegion && !request.allowsOtherRegions)
+        return Obstacle::OtherRegion;
+    if (now < server.avoidUntil || isSilent(server, now))
+        return Obstacle::Avoided;
+    if (isCold(server, now) && !mayUseCold)
+        return Obstacle::ColdLimit;
+    if (outstanding(server, now) >= server.entry.slots * (1 + limits.waitingPerSlot))
+        return Obstacle::QueueFull;
+    return Obstacle::None;
+}
+
+Placement choosePlacement(std::span<const BackendServer* const> servers, std::span<const char> mayUseCold,
+    std::span<const std::size_t> excluded, const PlacementRequest& request, const PlacementLimits& limits,
+    TimePoint now)
+{
+    Placement best;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (std::find(excluded.begin(), excluded.end(), i) != excluded.end())
+            continue;
+        const BackendServer& server = *servers[i];
+        if (obstacleOf(server, request, limits, mayUseCold[i] != 0, now) != Obstacle::None)
+            continue;
+        const Forecast candidate = forecast(server, request, limits, now);
+        if (candidate.completion > request.timeLeft) {
+            best.wasTooLate = true;
+            continue;
+        }
+        if (!best.server || candidate.cost < best.forecast.cost) {
+            best.server = i;
+            best.forecast = candidate;
+        }
+    }
+    if (!best.server)
+        best.retryAfter = std::clamp<Duration>(request.work.recent, shortestRetryAfter, longestRetryAfter);
+    return best;
+}
+
+bool isColdSender(std::string_view serverId, std::string_view self, std::span<const std::string> candidates)
+{
+    const std::uint64_t seed = hash64(serverId);
+    const std::uint64_t own = hash64(self, seed);
+    std::size_t before = 0;
+    for (const std::string& other : candidates) {
+        if (other != self && hash64(other, seed) > own)
+            ++before;
+    }
+    return before < coldSenders;
+}
+
+Duration coldInterval(double requestsPerSecond)
+{
+    if (requestsPerSecond <= 0)
+        return {};
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(coldSenders / requestsPerSecond));
+}
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/placement.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "forwarding/backendserver.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Placement: which backend server runs a request. Pure decisions over plain structs.
+///
+/// They answer a load that is near or above the servers' slots, where most of the capacity comes from servers that
+/// recently handled a request's object: the working time there is a small part of the usual one. A queue at such a
+/// server is often shorter than the work elsewhere, so servers are compared by the time at which they would answer.
+namespace clementinefall::forwarding {
+
+/// Typical working times of one route, measured by this instance without queueing.
+struct WorkEstimate {
+    Duration fresh {}; ///< At a server that has not handled the object lately.
+    Duration recent {}; ///< At a server that has.
+    unsigned freshSamples = 0;
+    unsigned recentSamples = 0;
+};
+
+/// Estimate before any measurement: an ordinary request takes its target latency, a repeated one under half of it.
+WorkEstimate initialWorkEstimate(Duration targetLatency);
+
+/// Adds the working time of an answered request to the average of its kind.
+void recordWork(WorkEstimate& estimate, bool wasRecent, Duration work);
+
+/// The request to place.
+struct PlacementRequest {
+    std::uint64_t object = 0; ///< Hash of route and affinity key; 0 without affinity.
+    std::size_t bodyBytes = 0;
+    WorkEstimate work;
+    Duration timeLeft {}; ///< Until the caller's deadline or the route's timeout.
+    Duration targetLeft {}; ///< Until the answer counts as late; may be negative.
+    bool allowsOtherRegions = false;
+};
+
+/// Why a server does not get a request now.
+enum class Obstacle : std::uint8_t { None, Unusable, Avoided, ColdLimit, QueueFull, OtherRegion };
+
+struct PlacementLimits {
+    /// Requests that may wait at a server for each of its slots. More would be shed by the server, or wait for longer
+    /// than the work takes elsewhere.
+    double waitingPerSlot = 2.0;
+    /// Cost of bytes that leave the zone, in waiting time that is accepted to avoid it. Links between zones and regions
+    /// are shared and paid for by the byte.
+    Duration zoneChange = milliseconds(40);
+    Duration regionChange = milliseconds(400);
+    Duration perKilobyte = milliseconds(4);
+};
+
+/// Expected time until the answer of \a server, in a form that can be compared.
+struct Forecast {
+    Duration completion {}; ///< From now to the whole answer.
+    Duration cost {}; ///< Completion plus the price of distance; decides between servers.
+    bool isRecent = false; ///< The server recently handled the object.
+};
+
+Forecast forecast(
+    const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits, TimePoint now);
+
+/// Whether \a server may get a request now; \a mayUseCold is the verdict of the cold limit for it.
+Obstacle obstacleOf(const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits,
+    bool mayUseCold, TimePoint now);
+
+struct Placement {
+    std::optional<std::size_t> server; ///< Position in the list of servers.
+    Forecast forecast;
+    Duration retryAfter {}; ///< When there is no server: time until one is likely to have room.
+    bool wasTooLate = false; ///< There was room, but no answer could come in time.
+};
+
+/// The server with the least cost among those that may take the request and would answer within its time. Positions in
+/// \a excluded are passed over.
+Placement choosePlacement(std::span<const BackendServer* const> servers, std::span<const char> mayUseCold,
+    std::span<const std::size_t> excluded, const PlacementRequest& request, const PlacementLimits& limits,
+    TimePoint now);
+
+/// The entry instances that may send to a cold server, so that the sum of their requests stays under its bound without
+/// agreement. Every instance computes the same set from the same list.
+inline constexpr std::size_t coldSenders = 2;
+
+/// Whether \a self is among the `coldSenders` first of \a candidates for \a serverId by rendezvous hashing.
+bool isColdSender(std::string_view serverId, std::string_view self, std::span<const std::string> candidates);
+
+/// Least time between two requests of one sender to a cold server that tolerates \a requestsPerSecond in all.
+Duration coldInterval(double requestsPerSecond);
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/regionspill.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+/// How much of a service's traffic runs in other regions. Answers an uneven load: a region whose servers are full while
+/// others have room. Objects move by the order of their hashes, so that the same objects leave first on every entry
+/// instance and the servers that handle them keep them.
+namespace clementinefall::forwarding {
+
+/// Part of a region's requests that may move to or from other regions in each second. The sum over two seconds stays
+/// well under the bound for a shift between regions, 0.15 of the requests from one two-second window to the next.
+inline constexpr double spillChangePerSecond = 0.045;
+
+/// Used part of the own region's slots above which traffic leaves, and below which it returns. The gap keeps the share
+/// from following every wave.
+inline constexpr double spillAboveUse = 1.05;
+inline constexpr double returnBelowUse = 0.7;
+
+/// Used part of the other regions' slots above which nothing more is sent there.
+inline constexpr double fullUse = 0.9;
+
+/// Weight of the newest measurement of the use, for measurements every quarter of a second.
+inline constexpr double useWeight = 0.2;
+
+/// State for one service.
+struct RegionSpill {
+    double share = 0.0; ///< Part of the objects that run in other regions.
+    double ownUse = 0.0; ///< Moving averages of outstanding requests over slots.
+    double otherUse = 0.0;
+};
+
+/// Adds a measurement and moves the share. \a elapsed is the time since the last call.
+void updateSpill(RegionSpill& spill, double ownUse, double otherUse, Duration elapsed);
+
+/// Whether \a object runs in another region.
+bool isSpilled(const RegionSpill& spill, std::uint64_t object);
+
+/// The region that runs a spilled \a object: rendezvous hashing with the regions' usable slots as weights. Empty when
+/// no region has any.
+std::string spillTarget(const std::map<std::string, double>& slotsByRegion, std::uint64_t object);
+
+} // namespace clementinefall::forwarding
--- /dev/null
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -0,0 +1,135 @@
+#include "forwarding/servercatalog.h"
+
+#include <algorithm>
+
+namespace clementinefall::forwarding {
+
+bool isNewer(const ServerEntry& candidate, const ServerEntry& known)
+{
+    if (candidate.bornMs != known.bornMs)
+        return candidate.bornMs > known.bornMs;
+    return candidate.sequence > known.sequence
+        || (candidate.sequence == known.sequence && candidate.revision > known.revision);
+}
+
+bool ServerCatalog::apply(const ServerEntry& entry, TimePoint now)
+{
+    const auto found = this->servers.find(entry.id);
+    if (found == this->servers.end()) {
+        this->insert(entry, now);
+        return true;
+    }
+    const ServerPointer& server = found->second;
+    server->missingSince = {};
+    if (!isNewer(entry, server->entry))
+        return false;
+    const bool reborn = entry.bornMs != server->entry.bornMs;
+    const bool moved = entry.service != server->entry.service || !(entry.address == server->entry.address)
+        || entry.zone != server->entry.zone;
+    if (reborn || moved) {
+        // A new incarnation shares nothing with the old one but its name.
+        this->remove(entry.id);
+        this->insert(entry, now);
+        return true;
+    }
+    const bool wasDraining = server->entry.state == ServerState::Draining;
+    server->entry = entry;
+    if (wasDraining)
+        server->entry.state = ServerState::Draining; // An incarnation that leaves never returns.
+    server->coldUntil = now + entry.coldLeft;
+    return true;
+}
+
+void ServerCatalog::insert(const ServerEntry& entry, TimePoint now)
+{
+    auto server = std::make_shared<BackendServer>();
+    server->entry = entry;
+    const auto region = this->place.regionOfZone.find(entry.zone);
+    if (region != this->place.regionOfZone.end())
+        server->region = region->second;
+    server->locality = entry.zone == this->place.zone ? Locality::SameZone
+        : server->region == this->place.region        ? Locality::SameRegion
+                                                      : Locality::OtherRegion;
+    server->isEvacuated = this->evacuatedZones.contains(entry.zone);
+    server->coldUntil = now + entry.coldLeft;
+    this->servers[entry.id] = server;
+    this->byService[entry.service].push_back(server);
+}
+
+void ServerCatalog::detach(const ServerPointer& server)
+{
+    server->isGone = true;
+    auto& list = this->byService[server->entry.service];
+    list.erase(std::remove(list.begin(), list.end(), server), list.end());
+    if (this->onGone)
+        this->onGone(server);
+}
+
+void ServerCatalog::remove(const std::string& id)
+{
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end())
+        return;
+    const ServerPointer server = found->second;
+    this->servers.erase(found);
+    this->detach(server);
+}
+
+void ServerCatalog::replaceAll(const std::vector<ServerEntry>& entries, bool afterOutage, TimePoint now)
+{
+    std::set<std::string> present;
+    for (const ServerEntry& entry : entries) {
+        present.insert(entry.id);
+        this->apply(entry, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, server] : this->servers) {
+        if (!present.contains(id))
+            missing.push_back(id);
+    }
+    for (const std::string& id : missing) {
+        const ServerPointer server = this->servers[id];
+        if (!afterOutage)
+            this->remove(id);
+        else if (server->missingSince == TimePoint {})
+            server->missingSince = now;
+    }
+}
+
+std::vector<std::string> ServerCatalog::expireMissing(TimePoint now)
+{
+    std::vector<std::string> expired;
+    for (const auto& [id, server] : this->servers) {
+        if (server->missingSince != TimePoint {} && now - server->missingSince >= returnTime)
+            expired.push_back(id);
+    }
+    for (const std::string& id : expired)
+        this->remove(id);
+    return expired;
+}
+
+void ServerCatalog::setEvacuations(std::set<std::string> zones, TimePoint now)
+{
+    this->evacuatedZones = std::move(zones);
+    for (const auto& [id, server] : this->servers) {
+        const bool evacuated = this->evacuatedZones.contains(server->entry.zone);
+        if (server->isEvacuated && !evacuated)
+            server->coldUntil = std::max(server->coldUntil, now + unreportedColdTime);
+        server->isEvacuated = evacuated;
+    }
+}
+
+const std::vector<ServerPointer>& ServerCatalog::serversOf(const std::string& service) const
+{
+    static const std::vector<ServerPointer> none;
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? none : found->second;
+}
+
+ServerPointer ServerCatalog::find(const std::string& id) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() ? nullptr : found->second;
+}
+
+} // namespace clementinefall::forwarding
--- a/src/libs/platform/platformclient.cpp
+++ b/src/libs/platform/platformclient.cpp
@@ -9,23 +9,6 @@
 
 namespace {
 
-/// Idle connections kept for calls; more than the usual number of concurrent calls on the control thread.
-constexpr std::size_t maximumIdleConnections = 4;
-constexpr milliseconds longestIdle { 15'000 };
-
-Error platformError(const Error& error)
-{
-    switch (error.code) {
-    case ResultCode::UnknownTimeout:
-        return makeError(ResultCode::PlatformTimeout, "{}", error.message);
-    case ResultCode::UnknownAnswerInvalid:
-    case ResultCode::BodyTooLarge:
-        return makeError(ResultCode::PlatformBadAnswer, "{}", error.message);
-    default:
-        return makeError(ResultCode::PlatformUnreachable, "{}", error.message);
-    }
-}
-
 Error statusError(const Request& request, const Response& response)
 {
     const unsigned status = response.result_int();
@@ -45,47 +28,20 @@
 } // namespace
 
 PlatformClient::PlatformClient(asio::any_io_executor clientExecutor, ClientSettings clientSettings)
-    : executor(std::move(clientExecutor))
-    , settings(std::move(clientSettings))
-    , budget { this->settings.callsPerSecond, this->settings.burst, this->settings.burst, Clock::now() }
+    : settings(std::move(clientSettings))
+    , transport(std::make_shared<Transport>(std::move(clientExecutor),
+          TransportSettings { this->settings.address, this->settings.callsPerSecond, this->settings.burst }))
 {
 }
 
-std::shared_ptr<http::ClientConnection> PlatformClient::takeIdle()
-{
-    while (!this->idle.empty()) {
-        auto connection = this->idle.back();
-        this->idle.pop_back();
-        if (Clock::now() - connection->lastUsedAt() < longestIdle && !connection->hasPendingInput())
-            return connection;
-        connection->close();
-    }
-    return nullptr;
-}
-
 Awaitable<Result<Response>> PlatformClient::call(Request request, milliseconds timeout)
 {
     const auto self = this->shared_from_this();
-    if (!takeCall(this->budget, Clock::now()))
-        co_return makeError(ResultCode::PlatformBudget, "the call budget is spent");
-    ++this->calls;
-    const TimePoint deadline = Clock::now() + timeout;
-    auto connection = this->takeIdle();
-    if (!connection) {
-        connection = std::make_shared<http::ClientConnection>(this->executor);
-        const Status connected = co_await connection->connect(this->settings.address, deadline);
-        if (!isOk(connected))
-            co_return makeError(ResultCode::PlatformUnreachable, "{}", errorOf(connected).message);
-    }
     Request copy = request;
-    const Result<Response> response = co_await connection->exchange(std::move(copy), maximumListBytes, deadline);
-    if (!isOk(response))
-        co_return platformError(errorOf(response));
-    if (connection->isReusable() && this->idle.size() < maximumIdleConnections)
-        this->idle.push_back(connection);
-    if (valueOf(response).result_int() >= 300)
+    const Result<Response> response = co_await this->transport->call(std::move(copy), timeout);
+    if (isOk(response) && valueOf(response).result_int() >= 300)
         co_return statusError(request, valueOf(response));
-    co_return valueOf(response);
+    co_return response;
 }
 
 Awaitable<Result<VersionedValue>> PlatformClient::read(std::string kind, std::string name)
--- a/src/libs/platform/platformclient.h
+++ b/src/libs/platform/platformclient.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "http/clientconnection.h"
-#include "platform/calllimiter.h"
 #include "platform/platformprotocol.h"
+#include "platform/transport.h"
 
 #include <map>
 #include <memory>
@@ -40,17 +39,13 @@
 
     Awaitable<Result<InstanceList>> instances();
 
-    std::uint64_t callCount() const { return this->calls; }
+    std::uint64_t callCount() const { return this->transport->callCount(); }
 
 private:
     Awaitable<Result<http::Response>> call(http::Request request, milliseconds timeout);
-    std::shared_ptr<http::ClientConnection> takeIdle();
 
-    asio::any_io_executor executor;
     ClientSettings settings;
-    CallBudget budget;
-    std::vector<std::shared_ptr<http::ClientConnection>> idle;
-    std::uint64_t calls = 0;
+    std::shared_ptr<Transport> transport;
 };
 
 } // namespace clementinefall::platform
--- /dev/null
+++ b/src/libs/platform/transport.cpp
@@ -0,0 +1,90 @@
+#include "platform/transport.h"
+
+#include "platform/platformprotocol.h"
+
+#include <algorithm>
+
+namespace clementinefall::platform {
+
+using http::Request;
+using http::Response;
+
+namespace {
+
+/// Idle connections kept for calls; more than the usual number of concurrent calls on the control thread.
+constexpr std::size_t maximumIdleConnections = 6;
+constexpr milliseconds longestIdle { 15'000 };
+
+/// A platform that does not accept a connection within this time is taken as unreachable.
+constexpr milliseconds connectTimeout { 1000 };
+
+Error platformError(const Error& error)
+{
+    switch (error.code) {
+    case ResultCode::UnknownTimeout:
+        return makeError(ResultCode::PlatformTimeout, "{}", error.message);
+    case ResultCode::UnknownAnswerInvalid:
+    case ResultCode::BodyTooLarge:
+        return makeError(ResultCode::PlatformBadAnswer, "{}", error.message);
+    default:
+        return makeError(ResultCode::PlatformUnreachable, "{}", error.message);
+    }
+}
+
+} // namespace
+
+Transport::Transport(asio::any_io_executor transportExecutor, TransportSettings transportSettings)
+    : executor(std::move(transportExecutor))
+    , settings(std::move(transportSettings))
+    , budget { this->settings.callsPerSecond, this->settings.burst, this->settings.burst, Clock::now() }
+{
+}
+
+void Transport::setAddress(const HostPort& address)
+{
+    if (address == this->settings.address)
+        return;
+    this->settings.address = address;
+    for (const auto& connection : this->idle)
+        connection->close();
+    this->idle.clear();
+}
+
+std::shared_ptr<http::ClientConnection> Transport::takeIdle()
+{
+    while (!this->idle.empty()) {
+        auto connection = this->idle.back();
+        this->idle.pop_back();
+        if (Clock::now() - connection->lastUsedAt() < longestIdle && !connection->hasPendingInput())
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
+Awaitable<Result<Response>> Transport::call(Request request, milliseconds timeout)
+{
+    const auto self = this->shared_from_this();
+    if (!takeCall(this->budget, Clock::now()))
+        co_return makeError(ResultCode::PlatformBudget, "the call budget is spent");
+    ++this->calls;
+    const TimePoint start = Clock::now();
+    const TimePoint deadline = start + timeout;
+    const HostPort address = this->settings.address;
+    auto connection = this->takeIdle();
+    if (!connection) {
+        connection = std::make_shared<http::ClientConnection>(this->executor);
+        const Status connected
+            = co_await connection->connect(address, std::min<TimePoint>(deadline, start + connectTimeout));
+        if (!isOk(connected))
+            co_return makeError(ResultCode::PlatformUnreachable, "{}", errorOf(connected).message);
+    }
+    const Result<Response> response = co_await connection->exchange(std::move(request), maximumListBytes, deadline);
+    if (!isOk(response))
+        co_return platformError(errorOf(response));
+    if (connection->isReusable() && this->idle.size() < maximumIdleConnections && address == this->settings.address)
+        this->idle.push_back(connection);
+    co_return valueOf(response);
+}
+
+} // namespace clementinefall::platform
--- /dev/null
+++ b/src/libs/platform/transport.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/clock.h"
+#include "http/clientconnection.h"
+#include "platform/calllimiter.h"
+
+#include <memory>
+#include <vector>
+
+namespace clementinefall::platform {
+
+struct TransportSettings {
+    HostPort address;
+    double callsPerSecond = 5.0;
+    double burst = 20.0;
+};
+
+/// HTTP calls to the platform on one thread: connections that are used again, and a budget. Each call is made once.
+class Transport : public std::enable_shared_from_this<Transport> {
+public:
+    Transport(asio::any_io_executor transportExecutor, TransportSettings transportSettings);
+
+    /// The response, whatever its status. Errors: PlatformUnreachable, PlatformTimeout, PlatformBadAnswer,
+    /// PlatformBudget. After PlatformTimeout or PlatformUnreachable the call may have taken effect.
+    Awaitable<Result<http::Response>> call(http::Request request, milliseconds timeout);
+
+    /// Sends later calls to another address.
+    void setAddress(const HostPort& address);
+
+    std::uint64_t callCount() const { return this->calls; }
+
+private:
+    std::shared_ptr<http::ClientConnection> takeIdle();
+
+    asio::any_io_executor executor;
+    TransportSettings settings;
+    CallBudget budget;
+    std::vector<std::shared_ptr<http::ClientConnection>> idle;
+    std::uint64_t calls = 0;
+};
+
+} // namespace clementinefall::platform
--- a/src/libs/requests/retrybudget.cpp
+++ b/src/libs/requests/retrybudget.cpp
@@ -30,7 +30,10 @@
 {
     this->advance(now);
     const Slot& oldest = this->slots[static_cast<std::size_t>(this->newestStep + 1) % slotCount];
-    const std::uint64_t allowed = (this->firstInWindow - oldest.first) / firstAttemptsPerExtra;
+    const std::uint64_t first = this->firstInWindow - oldest.first;
+    const std::uint64_t earned
+        = this->limits.firstAttemptsPerExtra > 0 ? first / this->limits.firstAttemptsPerExtra : 0;
+    const std::uint64_t allowed = earned + this->limits.allowance;
     return allowed > this->extraInWindow ? allowed - this->extraInWindow : 0;
 }
 
--- a/src/libs/requests/retrybudget.h
+++ b/src/libs/requests/retrybudget.h
@@ -10,14 +10,26 @@
 
 namespace clementinefall::requests {
 
-/// Limits extra attempts (retries and hedges) to a tenth of the first attempts in the 10 s before each extra attempt.
+struct RetryBudgetLimits {
+    unsigned firstAttemptsPerExtra = 10; ///< 0 grants nothing for first attempts.
+    unsigned allowance = 0; ///< Extra attempts in a window beyond those.
+};
+
+/// Limits extra attempts (retries and hedges) to a part, usually a tenth, of the first attempts in the 10 s before each
+/// extra attempt.
 /// Counts are kept per 100 ms. A 100 ms step that lies only partly in the window counts for extra attempts but not
 /// for first ones, so rounding never grants too much.
 class RetryBudget {
 public:
     static constexpr seconds window { 10 };
     static constexpr milliseconds step { 100 };
-    static constexpr unsigned firstAttemptsPerExtra = 10;
+
+    explicit RetryBudget(RetryBudgetLimits budgetLimits = {})
+        : limits(budgetLimits)
+    {
+    }
+
+    void setAllowance(unsigned allowance) { this->limits.allowance = allowance; }
 
     void noteFirstAttempt(TimePoint now);
 
@@ -38,6 +50,7 @@
     void advance(TimePoint now);
     Slot& current() { return this->slots[static_cast<std::size_t>(this->newestStep) % slotCount]; }
 
+    RetryBudgetLimits limits;
     std::array<Slot, slotCount> slots {};
     std::int64_t newestStep = 0;
     std::uint64_t firstInWindow = 0; ///< Includes the oldest slot.
