Offer a free slot whatever the working time is assumed to be

Change: a request counts as too late only when it would have to wait, and then by the shortest working time of its route.

--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -93,6 +93,8 @@
     // Those who wait are mostly repeats of objects that the server knows.
     const Duration wait = scaled(request.work.recent, slowness * ahead);
     result.completion = server.connectTime + wait + work;
+    result.earliest = server.connectTime + wait + scaled(request.work.recent, slowness);
+    result.mustWait = load + 1 > slots;
     result.cost = result.completion + distancePrice(server, request.bodyBytes, limits)
         + scaled(request.work.fresh, usedSlotCost * load / slots)
         + scaled(request.work.fresh, failureCost * server.failureRate * server.failureRate);
@@ -101,6 +103,11 @@
     return result;
 }
 
+bool isTooLate(const Forecast& forecast, const PlacementRequest& request)
+{
+    return forecast.mustWait && forecast.earliest > request.timeLeft;
+}
+
 Obstacle obstacleOf(const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits,
     bool mayUseCold, TimePoint now)
 {
@@ -129,7 +136,7 @@
         if (obstacleOf(server, request, limits, mayUseCold[i] != 0, now) != Obstacle::None)
             continue;
         const Forecast candidate = forecast(server, request, limits, now);
-        if (candidate.completion > request.timeLeft) {
+        if (isTooLate(candidate, request)) {
             best.wasTooLate = true;
             continue;
         }
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -58,6 +58,8 @@
 struct Forecast {
     Duration completion {}; ///< From now to the whole answer.
     Duration cost {}; ///< Completion plus the price of distance; decides between servers.
+    Duration earliest {}; ///< Completion if the work is as short as this route's ever is, with the wait that is known.
+    bool mustWait = false; ///< All slots of the server are in use.
     bool isRecent = false; ///< The server recently handled the object.
 };
 
@@ -75,7 +77,11 @@
     bool wasTooLate = false; ///< There was room, but no answer could come in time.
 };
 
-/// The server with the least cost among those that may take the request and would answer within its time. Positions in
+/// Whether the request cannot be answered by its deadline. A free slot is always offered: a working time that was only
+/// estimated, or measured for other objects, must not keep a route from ever being served.
+bool isTooLate(const Forecast& forecast, const PlacementRequest& request);
+
+/// The server with the least cost among those that may take the request and are not too late for it. Positions in
 /// \a excluded are passed over.
 Placement choosePlacement(std::span<const BackendServer* const> servers, std::span<const char> mayUseCold,
     std::span<const std::size_t> excluded, const PlacementRequest& request, const PlacementLimits& limits,
