Balance the use of the regions: spill by difference, from an even start

Ruled out: the servers elsewhere, which were used to a tenth.

Change: beats tell the other regions how much of its slots a region uses; the share of objects that run elsewhere starts at equal use by slots and instances, and then follows the difference of use. Tried and dropped: thresholds on the own use alone (0.7 to 1.05, then 0.45 to 0.85), which let the share fall back in each lull.

--- a/src/libs/forwarding/beat.cpp
+++ b/src/libs/forwarding/beat.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
+
 namespace clementinefall::forwarding {
 
 namespace json = boost::json;
@@ -10,6 +12,9 @@
 
 constexpr unsigned beatVersion = 1;
 
+/// Hundredths are exact enough for a measure that changes several times a second.
+constexpr double usePrecision = 100;
+
 std::string_view stateName(InstanceState state)
 {
     switch (state) {
@@ -68,6 +73,12 @@
             marks.push_back(writeMark(mark, now));
         addIfFits("crashes", std::move(marks));
     }
+    if (!beat.regionUse.empty()) {
+        json::object uses;
+        for (const auto& [service, use] : beat.regionUse)
+            uses[service] = std::round(use * usePrecision) / usePrecision;
+        addIfFits("use", std::move(uses));
+    }
     if (!beat.inFlight.empty()) {
         json::object loads;
         for (const auto& [server, count] : beat.inFlight)
@@ -96,6 +107,10 @@
             for (const auto& item : loads->as_object())
                 beat.inFlight[std::string(item.key())] = item.value().to_number<unsigned>();
         }
+        if (const json::value* uses = message.if_contains("use")) {
+            for (const auto& item : uses->as_object())
+                beat.regionUse[std::string(item.key())] = item.value().to_number<double>();
+        }
         if (const json::value* marks = message.if_contains("crashes")) {
             for (const json::value& mark : marks->as_array())
                 beat.crashMarks.push_back(readMark(mark.as_object(), now));
--- a/src/libs/forwarding/beat.h
+++ b/src/libs/forwarding/beat.h
@@ -18,6 +18,7 @@
     std::string name;
     std::uint64_t incarnation = 0; ///< Random, new at each start.
     InstanceState state = InstanceState::Starting;
+    std::map<std::string, double> regionUse; ///< Used part of its region's slots, by service.
     std::map<std::string, unsigned> inFlight; ///< Its requests at each backend server; to its own zone only.
     std::vector<requests::CrashMark> crashMarks; ///< Crashes that it saw in the last seconds.
 };
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace clementinefall::forwarding {
 
@@ -48,6 +49,9 @@
 /// What a neighbour said of its requests is forgotten after four beats without a new one.
 constexpr milliseconds neighbourLifetime { 1000 };
 
+/// What a region said of its use counts for this long: a few beats.
+constexpr milliseconds useLifetime { 3000 };
+
 /// Weight of the newest sample in a server's slowness.
 constexpr double slownessWeight = 0.12;
 constexpr double leastSlowness = 0.4;
@@ -181,11 +185,16 @@
     return this->budgets.emplace(service, requests::RetryBudget(limits)).first->second;
 }
 
-void Forwarder::setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize, std::size_t fleetSize)
+void Forwarder::setInstances(
+    std::vector<std::string> regionInstances, std::size_t zoneSize, std::map<std::string, std::size_t> liveByRegion)
 {
     this->zoneInstanceCount = std::max<std::size_t>(1, zoneSize);
     this->instancesOfRegion = std::move(regionInstances);
-    const std::size_t count = std::max<std::size_t>(1, fleetSize);
+    this->instancesByRegion = std::move(liveByRegion);
+    std::size_t count = 0;
+    for (const auto& [region, live] : this->instancesByRegion)
+        count += live;
+    count = std::max<std::size_t>(1, count);
     if (count == this->instanceCount)
         return;
     this->instanceCount = count;
@@ -574,6 +583,26 @@
     this->neighbourHeardAt[instance] = now;
 }
 
+void Forwarder::noteRegionUse(
+    const std::string& region, const std::map<std::string, double>& useByService, TimePoint now)
+{
+    for (const auto& [service, use] : useByService) {
+        ReportedUse& reported = this->reportedUses[{ region, service }];
+        // The instances of a region see different parts of its load; the mean of their reports is what counts.
+        const bool isFresh = now - reported.at < useLifetime;
+        reported.use = isFresh ? reported.use + useWeight * (use - reported.use) : use;
+        reported.at = now;
+    }
+}
+
+std::map<std::string, double> Forwarder::regionUse() const
+{
+    std::map<std::string, double> result;
+    for (const auto& [service, spill] : this->spills)
+        result[service] = spill.ownUse;
+    return result;
+}
+
 void Forwarder::tick(TimePoint now)
 {
     for (auto& [instance, heardAt] : this->neighbourHeardAt) {
@@ -582,27 +611,56 @@
     }
     this->connections.closeExpired(now);
     this->heldBack.expire(now);
-    const Duration elapsed = this->lastTick == TimePoint {} ? Duration {} : now - this->lastTick;
+    if (this->currentConfiguration)
+        this->updateSpills(now);
     this->lastTick = now;
-    if (!this->currentConfiguration)
-        return;
+}
+
+void Forwarder::updateSpills(TimePoint now)
+{
+    const Duration elapsed = this->lastTick == TimePoint {} ? Duration {} : now - this->lastTick;
     for (const auto& [name, service] : this->currentConfiguration->services) {
         double ownLoad = 0;
-        double ownSlots = 0;
-        double otherLoad = 0;
-        double otherSlots = 0;
+        std::map<std::string, RegionCapacity> regions;
+        for (const auto& [region, live] : this->instancesByRegion)
+            regions[region].instances = live;
         for (const ServerPointer& server : this->catalog->serversOf(name)) {
             if (!isUsable(*server) || now < server->avoidUntil || isCold(*server, now))
                 continue;
-            const bool isOwn = server->locality != Locality::OtherRegion;
-            (isOwn ? ownLoad : otherLoad) += outstanding(*server, now);
-            (isOwn ? ownSlots : otherSlots) += server->entry.slots;
+            if (server->locality != Locality::OtherRegion)
+                ownLoad += outstanding(*server, now);
+            regions[server->region].slots += server->entry.slots;
+        }
+        const double ownSlots = regions[this->settings.region].slots;
+        double otherSlots = 0;
+        double otherLoad = 0;
+        for (const auto& [region, capacity] : regions) {
+            if (region == this->settings.region)
+                continue;
+            otherSlots += capacity.slots;
+            const auto reported = this->reportedUses.find({ region, name });
+            if (reported != this->reportedUses.end() && now - reported->second.at < useLifetime)
+                otherLoad += reported->second.use * capacity.slots;
+        }
+        if (ownSlots <= 0 || otherSlots <= 0)
+            continue;
+        RegionSpill& spill = this->spills[name];
+        const double before = spill.share;
+        if (!this->budgets.contains(name)) {
+            // No request of the service has come yet.
+            spill.share = initialSpillShare(regions, this->settings.region);
+        } else {
+            const auto room = this->waitingRooms.find(name);
+            if (room != this->waitingRooms.end())
+                ownLoad += static_cast<double>(room->second.size());
+            updateSpill(spill, ownLoad / ownSlots, otherLoad / otherSlots, elapsed);
+        }
+        constexpr double loggedStep = 0.1;
+        if (std::floor(before / loggedStep) != std::floor(spill.share / loggedStep)) {
+            logInfo("region_spill",
+                { { "service", name }, { "share", spill.share }, { "own_use", spill.ownUse },
+                    { "other_use", spill.otherUse }, { "own_slots", ownSlots }, { "other_slots", otherSlots } });
         }
-        const auto room = this->waitingRooms.find(name);
-        if (room != this->waitingRooms.end())
-            ownLoad += static_cast<double>(room->second.size());
-        if (ownSlots > 0 && otherSlots > 0)
-            updateSpill(this->spills[name], ownLoad / ownSlots, otherLoad / otherSlots, elapsed);
     }
 }
 
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -19,6 +19,7 @@
 
 struct ForwarderSettings {
     std::string instance; ///< Name of this entry instance.
+    std::string region;
     WireNames names;
     PlacementLimits placement;
     double retryRatio = 0.2; ///< Repeats that the whole fleet may send to a service, by its requests.
@@ -57,11 +58,17 @@
 
     /// Names of the live entry instances of the region, by which senders to cold servers are chosen; the number of
     /// those in the own zone, and of all, which share the retry budget.
-    void setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize, std::size_t fleetSize);
+    void setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize,
+        std::map<std::string, std::size_t> liveByRegion);
 
     /// Records the requests that an entry instance of the same zone has at each backend server.
     void noteNeighbour(const std::string& instance, const std::map<std::string, unsigned>& inFlight, TimePoint now);
 
+    /// Records how much of its slots a region uses, by service, as one of its entry instances says.
+    void noteRegionUse(const std::string& region, const std::map<std::string, double>& useByService, TimePoint now);
+    /// Used part of the own region's slots by service, for the other regions.
+    std::map<std::string, double> regionUse() const;
+
     /// Regular work, about four times a second.
     void tick(TimePoint now);
 
@@ -92,6 +99,7 @@
     void noteConnectFailure(const ServerPointer& server, TimePoint now);
     void noteCrash(const ServerPointer& server, TimePoint now);
     bool shouldRetry(const Job& job, const ServerAnswer& answer, TimePoint now);
+    void updateSpills(TimePoint now);
     Duration retryAfterFor(const Job& job);
     Outcome finish(Job& job, Outcome outcome);
     Outcome refuse(Job& job, Error error, Duration retryAfter);
@@ -106,6 +114,11 @@
     std::map<std::string, WaitingRoom> waitingRooms; ///< By service.
     std::map<std::string, std::map<std::string, unsigned>> neighbourLoads; ///< By instance and server.
     std::map<std::string, TimePoint> neighbourHeardAt;
+    struct ReportedUse {
+        double use = 0;
+        TimePoint at {};
+    };
+    std::map<std::pair<std::string, std::string>, ReportedUse> reportedUses; ///< By region and service.
     std::map<std::string, RegionSpill> spills; ///< By service.
     TimePoint lastTick {};
     ServerPool connections;
@@ -115,6 +128,7 @@
     TimePoint lastCrash {};
     std::string lastCrashServer;
     std::vector<std::string> instancesOfRegion;
+    std::map<std::string, std::size_t> instancesByRegion;
     std::size_t instanceCount = 1;
     std::size_t zoneInstanceCount = 1;
     Random random;
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -56,6 +56,12 @@
     return found != this->known.end() && this->isLive(found->second, now);
 }
 
+std::string InstanceTable::regionOf(const std::string& name) const
+{
+    const auto found = this->known.find(name);
+    return found == this->known.end() ? std::string() : found->second.info.region;
+}
+
 std::vector<std::string> InstanceTable::liveInRegion(TimePoint now) const
 {
     std::vector<std::string> result { this->self.name };
@@ -81,6 +87,16 @@
     return static_cast<std::size_t>(count) + 1;
 }
 
+std::map<std::string, std::size_t> InstanceTable::liveByRegion(TimePoint now) const
+{
+    std::map<std::string, std::size_t> result { { this->self.region, 1 } };
+    for (const auto& [name, entry] : this->known) {
+        if (this->isLive(entry, now))
+            ++result[entry.info.region];
+    }
+    return result;
+}
+
 std::vector<HostPort> InstanceTable::callerAddresses(
     const std::string& zone, const std::string& region, bool isSelfReady, std::size_t maximum, TimePoint now) const
 {
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -45,11 +45,14 @@
     /// All other registered instances.
     std::vector<InstanceInfo> others() const;
     bool isLive(const std::string& name, TimePoint now) const;
+    /// Empty for an instance that is not registered.
+    std::string regionOf(const std::string& name) const;
 
     /// Names of the live instances of the own region, this one included.
     std::vector<std::string> liveInRegion(TimePoint now) const;
     std::size_t liveInZone(TimePoint now) const;
     std::size_t liveCount(TimePoint now) const;
+    std::map<std::string, std::size_t> liveByRegion(TimePoint now) const;
 
     /// Addresses for callers in \a zone of \a region: the ready instances of their zone, else of their region, else
     /// all; at most \a maximum. \a isSelfReady says whether this instance takes new callers.
--- a/src/libs/forwarding/regionspill.cpp
+++ b/src/libs/forwarding/regionspill.cpp
@@ -17,14 +17,30 @@
 
 } // namespace
 
+double initialSpillShare(const std::map<std::string, RegionCapacity>& regions, const std::string& own)
+{
+    double slots = 0;
+    double instances = 0;
+    for (const auto& [name, region] : regions) {
+        slots += region.slots;
+        instances += static_cast<double>(region.instances);
+    }
+    const auto found = regions.find(own);
+    if (found == regions.end() || found->second.instances == 0 || slots <= 0)
+        return 0;
+    const double wanted = slots * static_cast<double>(found->second.instances) / instances;
+    return std::clamp(1.0 - found->second.slots / wanted, 0.0, 1.0);
+}
+
 void updateSpill(RegionSpill& spill, double ownUse, double otherUse, Duration elapsed)
 {
     spill.ownUse += useWeight * (ownUse - spill.ownUse);
     spill.otherUse += useWeight * (otherUse - spill.otherUse);
     const double step = spillChangePerSecond * std::min(1.0, std::chrono::duration<double>(elapsed).count());
-    if (spill.ownUse > spillAboveUse && spill.otherUse < fullUse)
+    const double difference = spill.ownUse - spill.otherUse;
+    if (spill.ownUse > busyUse && difference > growDifference && spill.otherUse < fullUse)
         spill.share = std::min(1.0, spill.share + step);
-    else if (spill.ownUse < returnBelowUse || spill.otherUse > spillAboveUse)
+    else if (difference < shrinkDifference || spill.ownUse < idleUse)
         spill.share = std::max(0.0, spill.share - step);
 }
 
--- a/src/libs/forwarding/regionspill.h
+++ b/src/libs/forwarding/regionspill.h
@@ -14,15 +14,20 @@
 
 /// Part of a region's requests that may move to or from other regions in each second. The sum over two seconds stays
 /// well under the bound for a shift between regions, 0.15 of the requests from one two-second window to the next.
-inline constexpr double spillChangePerSecond = 0.045;
+inline constexpr double spillChangePerSecond = 0.05;
 
-/// Used part of the own region's slots above which traffic leaves, and below which it returns. The gap keeps the share
-/// from following every wave.
-inline constexpr double spillAboveUse = 1.05;
-inline constexpr double returnBelowUse = 0.7;
+/// The share follows the difference between the regions' use: it grows while the own region is busy and clearly busier
+/// than the others, and shrinks once it is less busy than they are. Waves of load are then met with the share that the
+/// last one needed. The gap keeps the share still while the regions are about equal.
+inline constexpr double busyUse = 0.4;
+inline constexpr double growDifference = 0.15;
+inline constexpr double shrinkDifference = -0.05;
+
+/// Use of the own region under which everything fits there and distance only costs time.
+inline constexpr double idleUse = 0.12;
 
 /// Used part of the other regions' slots above which nothing more is sent there.
-inline constexpr double fullUse = 0.9;
+inline constexpr double fullUse = 0.8;
 
 /// Weight of the newest measurement of the use, for measurements every quarter of a second.
 inline constexpr double useWeight = 0.2;
@@ -34,6 +39,17 @@
     double otherUse = 0.0;
 };
 
+/// What is known of a region before any request has come: its slots, and its entry instances, by which callers are
+/// assumed to be spread.
+struct RegionCapacity {
+    double slots = 0;
+    std::size_t instances = 0;
+};
+
+/// Share with which a service starts, so that all regions are used alike. Without it the first seconds, in which no
+/// server has handled any object yet, would overload a small region before the share could follow.
+double initialSpillShare(const std::map<std::string, RegionCapacity>& regions, const std::string& own);
+
 /// Adds a measurement and moves the share. \a elapsed is the time since the last call.
 void updateSpill(RegionSpill& spill, double ownUse, double otherUse, Duration elapsed);
 
