Keep queues short and objects at their servers under overload

Logs of each send showed full servers with 18 to 26 waiting requests, more than three for each slot, which instances took for 14 in all: a load report was forgotten after 0.6 s, and a full server answers less often than that. Once the servers that know an object were full, others were made to learn it, which takes three times the work. Ruled out: lost objects at the servers; repeated requests still took 0.2 s where nothing waited.

Change: reports count for 2 s; requests with new objects and late ones may not fill queues; work counts as a cost to those behind; working times are measured without waiting; shares between regions are kept for each region.

--- a/src/libs/forwarding/backendserver.cpp
+++ b/src/libs/forwarding/backendserver.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Reports older than this no longer say what the other instances have in flight: about one working time.
-constexpr milliseconds reportLifetime { 600 };
+/// Reports older than this no longer say what the other instances have in flight. A full server answers each instance
+/// only now and then; while its report is forgotten sooner, every instance fills the server's queue anew.
+constexpr milliseconds reportLifetime { 2000 };
 
 /// First pause after a failed connect; a restarting server is tried again soon.
 constexpr milliseconds firstAvoidance { 250 };
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -49,6 +49,9 @@
 /// What a neighbour said of its requests is forgotten after four beats without a new one.
 constexpr milliseconds neighbourLifetime { 1000 };
 
+/// Between two lines that sum up the placements of each route.
+constexpr seconds summaryInterval { 5 };
+
 /// What a region said of its use counts for this long: a few beats.
 constexpr milliseconds useLifetime { 3000 };
 
@@ -113,6 +116,7 @@
     TimePoint deadline {};
     TimePoint target {};
     std::uint64_t object = 0;
+    std::uint64_t spillObject = 0; ///< As `object`, but random without affinity.
     requests::Fingerprint fingerprint;
     unsigned arrivals = 0; ///< Servers that the request was written to.
     unsigned connectFailures = 0;
@@ -231,7 +235,6 @@
     views.reserve(job.servers.size());
     cold.reserve(job.servers.size());
     bool hasOwnRegion = false;
-    std::map<std::string, double> otherSlots;
     for (std::size_t i = 0; i < job.servers.size(); ++i) {
         const BackendServer& server = *job.servers[i];
         views.push_back(&server);
@@ -240,10 +243,7 @@
             excluded.push_back(i);
         if (!isUsable(server))
             continue;
-        if (server.locality != Locality::OtherRegion)
-            hasOwnRegion = true;
-        else if (now >= server.avoidUntil)
-            otherSlots[server.region] += server.entry.slots;
+        hasOwnRegion = hasOwnRegion || server.locality != Locality::OtherRegion;
     }
     PlacementRequest request {
         .object = job.object,
@@ -254,8 +254,9 @@
         .allowsOtherRegions = !hasOwnRegion,
     };
     const auto spill = this->spills.find(job.service);
-    if (hasOwnRegion && spill != this->spills.end() && isSpilled(spill->second, job.object)) {
-        const std::string region = spillTarget(otherSlots, job.object);
+    const std::string region
+        = hasOwnRegion && spill != this->spills.end() ? spillTarget(spill->second, job.spillObject) : std::string();
+    if (!region.empty()) {
         std::vector<std::size_t> elsewhere = excluded;
         for (std::size_t i = 0; i < views.size(); ++i) {
             if (views[i]->region != region)
@@ -327,6 +328,7 @@
     job.target = start + job.route->targetLatency;
     if (job.route->hasAffinity && !job.request->affinityKey.empty())
         job.object = hash64(job.request->affinityKey, hash64(job.route->name)) | 1U;
+    job.spillObject = job.object != 0 ? job.object : this->random();
     StreamHash bodyHash;
     bodyHash.update(job.request->body);
     job.fingerprint = requests::fingerprintOf(
@@ -441,6 +443,7 @@
     }
     ++job.arrivals;
     this->counters.notePlacement(expected.isRecent);
+    ++(expected.isRecent ? job.state->recentPlacements : job.state->freshPlacements);
     const TimePoint sentAt = Clock::now();
     if (server->silentSince == TimePoint {}) {
         server->silentSince = sentAt;
@@ -490,8 +493,8 @@
     if (answer.end != AttemptEnd::Answered || answer.answer.status >= 300)
         return;
     this->heldBack.noteSuccess(job.fingerprint, now);
-    if (loadAtSend >= server->entry.slots)
-        return; // Part of the time was spent waiting.
+    if (loadAtSend >= server->entry.slots || (answer.load && answer.load->waiting > 0))
+        return; // Part of the time may have been spent waiting.
     const Duration took = now - sentAt;
     const Duration work = std::max<Duration>(took - server->connectTime, milliseconds(1));
     const Duration usual = expected.isRecent ? job.state->work.recent : job.state->work.fresh;
@@ -614,6 +617,36 @@
     if (this->currentConfiguration)
         this->updateSpills(now);
     this->lastTick = now;
+    if (now >= this->nextSummary) {
+        this->nextSummary = now + summaryInterval;
+        this->logRoutes(now);
+    }
+}
+
+void Forwarder::logRoutes(TimePoint now)
+{
+    for (const auto& [name, state] : this->routeStates) {
+        if (state->recentPlacements + state->freshPlacements == 0)
+            continue;
+        logInfo("route_summary",
+            { { "route", name }, { "recent", state->recentPlacements }, { "fresh", state->freshPlacements },
+                { "recent_ms", std::chrono::duration_cast<milliseconds>(state->work.recent).count() },
+                { "fresh_ms", std::chrono::duration_cast<milliseconds>(state->work.fresh).count() } });
+        state->recentPlacements = 0;
+        state->freshPlacements = 0;
+    }
+    for (const auto& [name, room] : this->waitingRooms) {
+        double load = 0;
+        double slots = 0;
+        for (const ServerPointer& server : this->catalog->serversOf(name)) {
+            if (!isUsable(*server) || server->locality == Locality::OtherRegion)
+                continue;
+            load += outstanding(*server, now);
+            slots += server->entry.slots;
+        }
+        logInfo("service_summary",
+            { { "service", name }, { "waiting", room.size() }, { "region_load", load }, { "region_slots", slots } });
+    }
 }
 
 void Forwarder::updateSpills(TimePoint now)
@@ -632,34 +665,36 @@
             regions[server->region].slots += server->entry.slots;
         }
         const double ownSlots = regions[this->settings.region].slots;
-        double otherSlots = 0;
-        double otherLoad = 0;
+        std::map<std::string, double> useByRegion;
         for (const auto& [region, capacity] : regions) {
-            if (region == this->settings.region)
+            if (region == this->settings.region || capacity.slots <= 0)
                 continue;
-            otherSlots += capacity.slots;
             const auto reported = this->reportedUses.find({ region, name });
-            if (reported != this->reportedUses.end() && now - reported->second.at < useLifetime)
-                otherLoad += reported->second.use * capacity.slots;
+            const bool isKnown = reported != this->reportedUses.end() && now - reported->second.at < useLifetime;
+            useByRegion[region] = isKnown ? reported->second.use : 0.0;
         }
-        if (ownSlots <= 0 || otherSlots <= 0)
+        if (ownSlots <= 0)
             continue;
         RegionSpill& spill = this->spills[name];
-        const double before = spill.share;
+        const double before = spill.total();
         if (!this->budgets.contains(name)) {
             // No request of the service has come yet.
-            spill.share = initialSpillShare(regions, this->settings.region);
+            spill.shares = initialSpillShares(regions, this->settings.region);
         } else {
             const auto room = this->waitingRooms.find(name);
             if (room != this->waitingRooms.end())
                 ownLoad += static_cast<double>(room->second.size());
-            updateSpill(spill, ownLoad / ownSlots, otherLoad / otherSlots, elapsed);
+            updateSpill(spill, ownLoad / ownSlots, useByRegion, elapsed);
         }
         constexpr double loggedStep = 0.1;
-        if (std::floor(before / loggedStep) != std::floor(spill.share / loggedStep)) {
+        if (std::floor(before / loggedStep) != std::floor(spill.total() / loggedStep)) {
+            std::string parts;
+            for (const auto& [region, share] : spill.shares)
+                parts += fmt::format("{}:{:.2f}/{:.2f} ", region, share, useByRegion[region]);
             logInfo("region_spill",
-                { { "service", name }, { "share", spill.share }, { "own_use", spill.ownUse },
-                    { "other_use", spill.otherUse }, { "own_slots", ownSlots }, { "other_slots", otherSlots } });
+                { { "service", name }, { "share", fmt::format("{:.2f}", spill.total()) },
+                    { "own_use", fmt::format("{:.2f}", spill.ownUse) }, { "own_slots", ownSlots },
+                    { "share_and_use", parts } });
         }
     }
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -87,6 +87,8 @@
     struct RouteState {
         ServiceRotation rotation;
         WorkEstimate work;
+        unsigned recentPlacements = 0; ///< Since the last summary line.
+        unsigned freshPlacements = 0;
     };
 
     std::shared_ptr<RouteState> stateOf(const Route& route);
@@ -100,6 +102,7 @@
     void noteCrash(const ServerPointer& server, TimePoint now);
     bool shouldRetry(const Job& job, const ServerAnswer& answer, TimePoint now);
     void updateSpills(TimePoint now);
+    void logRoutes(TimePoint now);
     Duration retryAfterFor(const Job& job);
     Outcome finish(Job& job, Outcome outcome);
     Outcome refuse(Job& job, Error error, Duration retryAfter);
@@ -121,6 +124,7 @@
     std::map<std::pair<std::string, std::string>, ReportedUse> reportedUses; ///< By region and service.
     std::map<std::string, RegionSpill> spills; ///< By service.
     TimePoint lastTick {};
+    TimePoint nextSummary {};
     ServerPool connections;
     requests::Quarantine heldBack;
     requests::InFlightTracker tracker;
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -15,6 +15,9 @@
 /// Weight of the newest sample in the averages of the working time.
 constexpr double newestWeight = 0.1;
 
+/// Weight of samples over the estimate against those under it.
+constexpr double longerSampleWeight = 0.4;
+
 /// Servers that are equal otherwise differ by up to this part of the working time, by the hash of server and object.
 /// All instances then send a new object to the same server.
 constexpr double rendezvousSpread = 0.3;
@@ -38,12 +41,15 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(duration) * factor);
 }
 
-void average(Duration& value, unsigned& samples, Duration sample)
+/// Moves \a value towards a quantile of the samples below the median: the others include waiting that was not seen, or
+/// an object that the server had forgotten.
+void track(Duration& value, unsigned& samples, Duration sample)
 {
     // The first samples count fully, so that the assumption does not linger.
     ++samples;
     const double weight = std::max(newestWeight, 1.0 / samples);
-    value = scaled(value, 1 - weight) + scaled(sample, weight);
+    const bool isLonger = sample > value && samples > 1;
+    value += scaled(sample - value, isLonger ? weight * longerSampleWeight : weight);
 }
 
 Duration distancePrice(const BackendServer& server, std::size_t bodyBytes, const PlacementLimits& limits)
@@ -75,9 +81,9 @@
 void recordWork(WorkEstimate& estimate, bool wasRecent, Duration work)
 {
     if (wasRecent)
-        average(estimate.recent, estimate.recentSamples, work);
+        track(estimate.recent, estimate.recentSamples, work);
     else
-        average(estimate.fresh, estimate.freshSamples, work);
+        track(estimate.fresh, estimate.freshSamples, work);
 }
 
 Forecast forecast(
@@ -97,6 +103,7 @@
     result.mustWait = load + 1 > slots;
     result.cost = result.completion + distancePrice(server, request.bodyBytes, limits)
         + scaled(request.work.fresh, usedSlotCost * load / slots)
+        + scaled(work, limits.crowding * std::min(1.0, load / slots))
         + scaled(request.work.fresh, failureCost * server.failureRate * server.failureRate);
     if (request.object != 0 && !result.isRecent)
         result.cost += scaled(request.work.fresh, rendezvousSpread * unitHash(server.entry.id, request.object));
@@ -119,7 +126,10 @@
         return Obstacle::Avoided;
     if (isCold(server, now) && !mayUseCold)
         return Obstacle::ColdLimit;
-    if (outstanding(server, now) >= server.entry.slots * (1 + limits.waitingPerSlot))
+    const bool isLate = request.targetLeft < request.work.recent;
+    const bool isRecent = request.object == 0 || server.recentObjects.contains(request.object, now);
+    const double waiting = isLate ? 0.0 : isRecent ? limits.waitingPerSlot : limits.freshWaitingPerSlot;
+    if (outstanding(server, now) >= server.entry.slots * (1 + waiting))
         return Obstacle::QueueFull;
     return Obstacle::None;
 }
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -45,8 +45,15 @@
 
 struct PlacementLimits {
     /// Requests that may wait at a server for each of its slots. More would be shed by the server, or wait for longer
-    /// than the work takes elsewhere.
-    double waitingPerSlot = 2.0;
+    /// than the work takes elsewhere. Requests that are late anyway take only free slots: in a server's queue they
+    /// would make the next ones late as well, and an overload would outlast its cause.
+    double waitingPerSlot = 1.5;
+    /// The same for a request whose object the server has not handled lately. Its work takes a multiple of a repeated
+    /// one's, so under overload it is better to wait for a server that knows the object than to make another one learn
+    /// it.
+    double freshWaitingPerSlot = 0.3;
+    /// Part of the working time that counts as a cost to the requests behind, at a server whose slots are all used.
+    double crowding = 1.0;
     /// Cost of bytes that leave the zone, in waiting time that is accepted to avoid it. Links between zones and regions
     /// are shared and paid for by the byte.
     Duration zoneChange = milliseconds(40);
--- a/src/libs/forwarding/regionspill.h
+++ b/src/libs/forwarding/regionspill.h
@@ -26,7 +26,7 @@
 /// Use of the own region under which everything fits there and distance only costs time.
 inline constexpr double idleUse = 0.12;
 
-/// Used part of the other regions' slots above which nothing more is sent there.
+/// Used part of another region's slots above which nothing more is sent there.
 inline constexpr double fullUse = 0.8;
 
 /// Weight of the newest measurement of the use, for measurements every quarter of a second.
@@ -34,9 +34,10 @@
 
 /// State for one service.
 struct RegionSpill {
-    double share = 0.0; ///< Part of the objects that run in other regions.
-    double ownUse = 0.0; ///< Moving averages of outstanding requests over slots.
-    double otherUse = 0.0;
+    std::map<std::string, double> shares; ///< Part of the objects that each other region runs.
+    double ownUse = 0.0; ///< Moving average of outstanding requests over slots.
+
+    double total() const;
 };
 
 /// What is known of a region before any request has come: its slots, and its entry instances, by which callers are
@@ -46,18 +47,17 @@
     std::size_t instances = 0;
 };
 
-/// Share with which a service starts, so that all regions are used alike. Without it the first seconds, in which no
-/// server has handled any object yet, would overload a small region before the share could follow.
-double initialSpillShare(const std::map<std::string, RegionCapacity>& regions, const std::string& own);
-
-/// Adds a measurement and moves the share. \a elapsed is the time since the last call.
-void updateSpill(RegionSpill& spill, double ownUse, double otherUse, Duration elapsed);
+/// Shares with which a service starts, so that all regions are used alike. Without them the first seconds, in which no
+/// server has handled any object yet, would overload a small region before the shares could follow.
+std::map<std::string, double> initialSpillShares(
+    const std::map<std::string, RegionCapacity>& regions, const std::string& own);
 
-/// Whether \a object runs in another region.
-bool isSpilled(const RegionSpill& spill, std::uint64_t object);
+/// Adds a measurement of the own use and moves one share: that of the least used other region up, or that of the most
+/// used one down. \a useByRegion holds the other regions that have room for the service at all; shares of other
+/// regions end at once. \a elapsed is the time since the last call.
+void updateSpill(RegionSpill& spill, double ownUse, const std::map<std::string, double>& useByRegion, Duration elapsed);
 
-/// The region that runs a spilled \a object: rendezvous hashing with the regions' usable slots as weights. Empty when
-/// no region has any.
-std::string spillTarget(const std::map<std::string, double>& slotsByRegion, std::uint64_t object);
+/// The region that runs \a object; empty for the own one.
+std::string spillTarget(const RegionSpill& spill, std::uint64_t object);
 
 } // namespace clementinefall::forwarding
