Weigh bytes that leave the zone more; let background reads leave slots free

Change: 100 ms and 10 ms a kilobyte of accepted waiting for another zone (40 and 4 before); requests of a route that shares its service with a more urgent one leave a third of a server's slots free and never queue there.

--- a/src/libs/forwarding/configuration.cpp
+++ b/src/libs/forwarding/configuration.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/configuration.h"
 
+#include <algorithm>
+
 namespace clementinefall::forwarding {
 
 std::string normalizedHost(std::string_view host)
@@ -12,6 +14,27 @@
     return result;
 }
 
+void markYieldingRoutes(Configuration& configuration)
+{
+    struct Wish {
+        unsigned priority;
+        Duration target;
+    };
+    std::map<std::string_view, std::vector<Wish>> wishes;
+    for (const Route& route : configuration.routes) {
+        for (const WeightedService& part : route.services)
+            wishes[part.service].push_back({ route.priority, route.targetLatency });
+    }
+    for (Route& route : configuration.routes) {
+        route.yields = std::any_of(route.services.begin(), route.services.end(), [&](const WeightedService& part) {
+            const auto& others = wishes[part.service];
+            return std::any_of(others.begin(), others.end(), [&route](const Wish& wish) {
+                return wish.priority < route.priority && wish.target < route.targetLatency;
+            });
+        });
+    }
+}
+
 const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path)
 {
     const std::string wanted = normalizedHost(host);
--- a/src/libs/forwarding/configuration.h
+++ b/src/libs/forwarding/configuration.h
@@ -34,6 +34,7 @@
     bool hasAffinity = false;
     std::vector<WeightedService> services; ///< At least one.
     std::vector<std::string> allowedRegions; ///< Empty allows every region.
+    bool yields = false; ///< Set by markYieldingRoutes().
 
     bool isIdempotent() const { return this->kind == RouteKind::Idempotent; }
 };
@@ -62,6 +63,10 @@
     CallerLimits limits;
 };
 
+/// Marks the routes that share a service with a more urgent route whose answers are wanted sooner. Their requests must
+/// not hold up the others in a queue, which both would wait in.
+void markYieldingRoutes(Configuration& configuration);
+
 /// The route with the longest prefix of \a path among those of \a host; nullptr when there is none. \a host may have a
 /// port and capitals; \a path may have a query.
 const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path);
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -252,6 +252,7 @@
         .timeLeft = job.deadline - now,
         .targetLeft = job.target - now,
         .allowsOtherRegions = !hasOwnRegion,
+        .yields = job.route->yields,
     };
     const auto spill = this->spills.find(job.service);
     const std::string region
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace clementinefall::forwarding {
 
@@ -128,6 +129,10 @@
         return Obstacle::ColdLimit;
     const bool isLate = request.targetLeft < request.work.recent;
     const bool isRecent = request.object == 0 || server.recentObjects.contains(request.object, now);
+    if (request.yields) {
+        const double kept = std::floor(server.entry.slots * limits.slotsKeptFree);
+        return outstanding(server, now) >= server.entry.slots - kept ? Obstacle::QueueFull : Obstacle::None;
+    }
     const double waiting = isLate ? 0.0 : isRecent ? limits.waitingPerSlot : limits.freshWaitingPerSlot;
     if (outstanding(server, now) >= server.entry.slots * (1 + waiting))
         return Obstacle::QueueFull;
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -38,6 +38,7 @@
     Duration timeLeft {}; ///< Until the caller's deadline or the route's timeout.
     Duration targetLeft {}; ///< Until the answer counts as late; may be negative.
     bool allowsOtherRegions = false;
+    bool yields = false; ///< More urgent requests use the same servers.
 };
 
 /// Why a server does not get a request now.
@@ -51,14 +52,17 @@
     /// The same for a request whose object the server has not handled lately. Its work takes a multiple of a repeated
     /// one's, so under overload it is better to wait for a server that knows the object than to make another one learn
     /// it.
-    double freshWaitingPerSlot = 0.3;
+    double freshWaitingPerSlot = 0.7;
+    /// Part of a server's slots that requests which yield leave free, rounded down; they never queue. Their work is
+    /// long, and an urgent request behind one is late.
+    double slotsKeptFree = 0.34;
     /// Part of the working time that counts as a cost to the requests behind, at a server whose slots are all used.
-    double crowding = 1.0;
+    double crowding = 0.5;
     /// Cost of bytes that leave the zone, in waiting time that is accepted to avoid it. Links between zones and regions
     /// are shared and paid for by the byte.
-    Duration zoneChange = milliseconds(40);
+    Duration zoneChange = milliseconds(100);
     Duration regionChange = milliseconds(400);
-    Duration perKilobyte = milliseconds(4);
+    Duration perKilobyte = milliseconds(10);
 };
 
 /// Expected time until the answer of \a server, in a form that can be compared.
