--- a/src/libs/forwarding/forwardedrequest.cpp
+++ b/src/libs/forwarding/forwardedrequest.cpp
@@ -51,7 +51,7 @@
     case ResultCode::UnknownTimeout:
         return 504;
     default:
-        return outcomeOf(code) == Outcome::Unknown ? 502 : 503;
+        return outcomeOf(code) == Outcome::NotRun ? 503 : 502;
     }
 }
 
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -24,7 +24,7 @@
 constexpr double rendezvousSpread = 0.3;
 
 /// Part of the working time that each used slot adds: prefers emptier servers, which answer a little faster.
-constexpr double usedSlotCost = 0.15;
+constexpr double usedSlotCost = 0.05;
 
 /// Cost of a server that fails all requests, in working times of the route.
 constexpr double failureCost = 12.0;
--- /dev/null
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -0,0 +1,541 @@
+#include "forwarding/callerserver.h"
+#include "forwarding/testwire.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <list>
+
+using namespace clementinefall;
+using namespace clementinefall::forwarding;
+using asio::ip::tcp;
+
+namespace {
+
+/// What a scripted backend server does with one request.
+struct Reply {
+    std::string bytes;
+    bool closes = false; ///< Ends the connection after the bytes.
+    bool resets = false; ///< Breaks the connection without a regular end.
+    bool isHeld = false; ///< Sends nothing until release().
+};
+
+/// A backend server that answers by a script and records what it got. One request at a time on a connection.
+class ScriptedServer {
+public:
+    explicit ScriptedServer(asio::io_context& serverContext)
+        : acceptor(serverContext, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        this->accept();
+    }
+
+    std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+
+    std::function<Reply(const std::string& request)> script;
+    std::vector<std::string> requests;
+    unsigned closedByPeer = 0;
+
+    void release()
+    {
+        for (auto& connection : this->connections) {
+            if (connection->isHeld) {
+                connection->isHeld = false;
+                this->reply(connection);
+            }
+        }
+    }
+
+private:
+    struct Connection {
+        explicit Connection(tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        tcp::socket socket;
+        std::string input;
+        Reply answer;
+        bool isHeld = false;
+    };
+    using ConnectionPointer = std::shared_ptr<Connection>;
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](beast::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            this->connections.push_back(std::make_shared<Connection>(std::move(socket)));
+            this->read(this->connections.back());
+            this->accept();
+        });
+    }
+
+    void read(const ConnectionPointer& connection)
+    {
+        auto buffer = std::make_shared<std::array<char, 4096>>();
+        connection->socket.async_read_some(
+            asio::buffer(*buffer), [this, connection, buffer](beast::error_code error, std::size_t bytes) {
+                if (error) {
+                    ++this->closedByPeer;
+                    return;
+                }
+                connection->input.append(buffer->data(), bytes);
+                const std::size_t end = connection->input.find("\r\n\r\n");
+                if (end != std::string::npos) {
+                    this->requests.push_back(connection->input);
+                    connection->answer = this->script(connection->input);
+                    connection->input.clear();
+                    connection->isHeld = connection->answer.isHeld;
+                    if (!connection->isHeld)
+                        this->reply(connection);
+                }
+                if (connection->socket.is_open())
+                    this->read(connection);
+            });
+    }
+
+    void reply(const ConnectionPointer& connection)
+    {
+        beast::error_code ignored;
+        asio::write(connection->socket, asio::buffer(connection->answer.bytes), ignored);
+        if (connection->answer.resets)
+            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        if (connection->answer.resets || connection->answer.closes)
+            connection->socket.close(ignored);
+    }
+
+    tcp::acceptor acceptor;
+    std::list<ConnectionPointer> connections;
+};
+
+std::string idOf(const std::string& request)
+{
+    const std::size_t at = request.find("X-Id: ") + 6;
+    return request.substr(at, request.find('\r', at) - at);
+}
+
+std::string answerBytes(const std::string& id, const std::string& body, const std::string& fields = "X-Seal: s\r\n")
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + fields + "Content-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+std::string requestBytes(const std::string& id, const std::string& path, const std::string& method = "GET")
+{
+    const std::string body = method == "GET" ? "" : "Content-Length: 2\r\n";
+    return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Id: " + id + "\r\nX-Left: 4000\r\n" + body
+        + "\r\n" + (method == "GET" ? "" : "hi");
+}
+
+/// An instance with its callers' port and two scripted backend servers, all on one context.
+class Fixture {
+public:
+    Fixture()
+        : first(this->context)
+        , second(this->context)
+    {
+        const Place place { "a", "north", { { "a", "north" } } };
+        this->catalog = std::make_shared<ServerCatalog>(place);
+        ForwarderSettings settings;
+        settings.instance = "self";
+        settings.region = "north";
+        settings.names = testNames();
+        settings.retryAllowance = 100;
+        this->forwarder = std::make_shared<Forwarder>(this->context.get_executor(), settings, this->catalog);
+        this->configure(1, "/safe/");
+        this->addServer("s1", this->first.port());
+        this->sessions = std::make_shared<SessionContext>();
+        this->sessions->forwarder = this->forwarder;
+        this->sessions->names = testNames();
+        this->server = std::make_shared<CallerServer>(this->context.get_executor(), this->sessions, 100);
+        REQUIRE(isOk(this->server->listen({ "127.0.0.1", 0 })));
+        const auto good = [](const std::string& request) { return Reply { answerBytes(idOf(request), "whole") }; };
+        this->first.script = good;
+        this->second.script = good;
+    }
+
+    void configure(std::uint64_t version, const std::string& safePrefix)
+    {
+        auto configuration = std::make_shared<Configuration>();
+        configuration->version = version;
+        Route safe;
+        safe.name = "safe";
+        safe.host = "shop.example";
+        safe.pathPrefix = safePrefix;
+        safe.kind = RouteKind::Idempotent;
+        safe.timeout = seconds(3);
+        safe.targetLatency = milliseconds(500);
+        safe.maximumServers = 3;
+        safe.services = { { "stock", 1 } };
+        Route once = safe;
+        once.name = "once";
+        once.pathPrefix = "/once/";
+        once.kind = RouteKind::NonIdempotent;
+        Route brief = safe;
+        brief.name = "brief";
+        brief.pathPrefix = "/brief/";
+        brief.timeout = milliseconds(300);
+        configuration->routes = { safe, once, brief };
+        Service service;
+        service.name = "stock";
+        service.coldTime = seconds(3);
+        service.coldRequestsPerSecond = 5;
+        configuration->services["stock"] = service;
+        configuration->limits.maximumBodyBytes = 1000;
+        configuration->limits.maximumHeaderBytes = 2000;
+        this->forwarder->configure(configuration);
+    }
+
+    void addServer(const std::string& id, std::uint16_t port)
+    {
+        ServerEntry entry;
+        entry.id = id;
+        entry.service = "stock";
+        entry.address = { "127.0.0.1", port };
+        entry.zone = "a";
+        entry.slots = 4;
+        this->catalog->apply(entry, Clock::now());
+    }
+
+    /// Opens a caller's connection and sends \a bytes on it.
+    std::shared_ptr<tcp::socket> open(const std::string& bytes)
+    {
+        auto socket = std::make_shared<tcp::socket>(this->context);
+        socket->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), this->server->port()));
+        asio::write(*socket, asio::buffer(bytes));
+        return socket;
+    }
+
+    /// Runs the context until \a done or for five seconds, which fails the test.
+    void runUntil(const std::function<bool()>& done)
+    {
+        const TimePoint limit = Clock::now() + seconds(5);
+        while (!done() && Clock::now() < limit)
+            this->context.run_one_for(milliseconds(50));
+        REQUIRE(done());
+    }
+
+    /// What the caller receives until \a marks occurrences of `mark` or the end of the connection.
+    std::string receive(const std::shared_ptr<tcp::socket>& socket, const std::string& mark, std::size_t marks = 1)
+    {
+        auto text = std::make_shared<std::string>();
+        auto ended = std::make_shared<bool>(false);
+        this->readMore(socket, text, ended);
+        const auto count = [&] {
+            std::size_t found = 0;
+            for (std::size_t at = text->find(mark); at != std::string::npos; at = text->find(mark, at + 1))
+                ++found;
+            return found;
+        };
+        this->runUntil([&] { return *ended || count() >= marks; });
+        return *text;
+    }
+
+    std::string exchange(const std::string& bytes, const std::string& mark)
+    {
+        return this->receive(this->open(bytes), mark);
+    }
+
+    asio::io_context context { 1 };
+    ScriptedServer first;
+    ScriptedServer second;
+    std::shared_ptr<ServerCatalog> catalog;
+    std::shared_ptr<Forwarder> forwarder;
+    std::shared_ptr<SessionContext> sessions;
+    std::shared_ptr<CallerServer> server;
+
+private:
+    void readMore(const std::shared_ptr<tcp::socket>& socket, const std::shared_ptr<std::string>& text,
+        const std::shared_ptr<bool>& ended)
+    {
+        auto buffer = std::make_shared<std::array<char, 65536>>();
+        socket->async_read_some(
+            asio::buffer(*buffer), [this, socket, text, ended, buffer](beast::error_code error, std::size_t bytes) {
+                text->append(buffer->data(), bytes);
+                if (error)
+                    *ended = true;
+                else
+                    this->readMore(socket, text, ended);
+            });
+    }
+};
+
+} // namespace
+
+TEST_CASE("A caller's request over sockets")
+{
+    Fixture fixture;
+
+    SECTION("gets the server's answer unchanged, and the server gets the request")
+    {
+        const std::string text = fixture.exchange(requestBytes("r1", "/safe/7?x=1"), "whole");
+        CHECK(text.starts_with("HTTP/1.1 200 OK\r\n"));
+        CHECK(text.find("X-Seal: s\r\n") != std::string::npos);
+        REQUIRE(fixture.first.requests.size() == 1);
+        CHECK(fixture.first.requests[0].starts_with("GET /safe/7?x=1 HTTP/1.1\r\n"));
+        CHECK(fixture.first.requests[0].find("X-Server: s1\r\n") != std::string::npos);
+    }
+
+    SECTION("is answered 404 without a route, and 503 before any configuration is known")
+    {
+        CHECK(fixture.exchange(requestBytes("r1", "/none/"), "4003").starts_with("HTTP/1.1 404"));
+        Fixture bare;
+        ForwarderSettings settings;
+        settings.names = testNames();
+        bare.forwarder = std::make_shared<Forwarder>(bare.context.get_executor(), settings, bare.catalog);
+        bare.sessions->forwarder = bare.forwarder;
+        CHECK(bare.exchange(requestBytes("r1", "/safe/"), "2007").starts_with("HTTP/1.1 503"));
+        CHECK(fixture.first.requests.empty());
+    }
+
+    SECTION("never gets a late answer to an earlier request of the same connection")
+    {
+        fixture.first.script = [](const std::string& request) {
+            const std::string id = idOf(request);
+            return Reply { id == "r1" ? answerBytes(id, "first") : answerBytes("r1", "stale") + answerBytes(id, "own") };
+        };
+        fixture.exchange(requestBytes("r1", "/safe/1"), "first");
+        const std::string text = fixture.exchange(requestBytes("r2", "/safe/2"), "own");
+        CHECK(text.find("own") != std::string::npos);
+        CHECK(text.find("stale") == std::string::npos);
+    }
+
+    SECTION("that may be repeated gets another server's answer when the first one breaks off")
+    {
+        fixture.first.script = [](const std::string& request) {
+            std::string bytes = answerBytes(idOf(request), "whole");
+            bytes.resize(bytes.size() - 2);
+            return Reply { .bytes = bytes, .closes = true };
+        };
+        fixture.second.script = fixture.first.script;
+        SECTION("and 502 when no server is left")
+        {
+            const std::string text = fixture.exchange(requestBytes("r1", "/safe/1"), "3008");
+            CHECK(text.starts_with("HTTP/1.1 502"));
+            CHECK(text.find("X-Seal") == std::string::npos);
+        }
+        SECTION("whole")
+        {
+            fixture.second.script = [](const std::string& request) { return Reply { answerBytes(idOf(request), "good") }; };
+            fixture.addServer("s2", fixture.second.port());
+            for (int i = 0; i < 4; ++i) {
+                const std::string id = "r" + std::to_string(i);
+                CHECK(fixture.exchange(requestBytes(id, "/safe/1"), "good").starts_with("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    SECTION("that must not run twice is sent once, and a lost answer is told as unknown")
+    {
+        fixture.addServer("s2", fixture.second.port());
+        const auto lose = [](const std::string&) { return Reply { .bytes = "", .resets = true }; };
+        fixture.first.script = lose;
+        fixture.second.script = lose;
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "300");
+        CHECK(text.starts_with("HTTP/1.1 502"));
+        CHECK(fixture.first.requests.size() + fixture.second.requests.size() == 1);
+    }
+
+    SECTION("that must not run twice is sent again when the server says that it did not run")
+    {
+        fixture.addServer("s2", fixture.second.port());
+        bool refused = false;
+        const auto refuseOnce = [&refused](const std::string& request) {
+            if (refused)
+                return Reply { answerBytes(idOf(request), "whole") };
+            refused = true;
+            return Reply { "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + idOf(request)
+                + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" };
+        };
+        fixture.first.script = refuseOnce;
+        fixture.second.script = refuseOnce;
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "whole");
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK(fixture.first.requests.size() + fixture.second.requests.size() == 2);
+    }
+
+    SECTION("gets no success that bears no seal, and none with an encoding")
+    {
+        std::string fields;
+        SECTION("no seal") { fields = ""; }
+        SECTION("encoding") { fields = "X-Seal: s\r\nContent-Encoding: gzip\r\n"; }
+        fixture.first.script = [fields](const std::string& request) {
+            return Reply { answerBytes(idOf(request), "whole", fields) };
+        };
+        CHECK(fixture.exchange(requestBytes("r1", "/once/1", "POST"), "3005").starts_with("HTTP/1.1 502"));
+    }
+
+    SECTION("gets an answer without a length whole when the server ends it, and none when it is reset")
+    {
+        bool resets = false;
+        SECTION("ended") { resets = false; }
+        SECTION("reset") { resets = true; }
+        fixture.first.script = [resets](const std::string& request) {
+            return Reply { .bytes = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request) + "\r\nX-Seal: s\r\n\r\nopen",
+                .closes = !resets,
+                .resets = resets };
+        };
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), resets ? "300" : "open");
+        CHECK(text.starts_with(resets ? "HTTP/1.1 502" : "HTTP/1.1 200"));
+        if (!resets)
+            CHECK(text.find("Content-Length: 4\r\n") != std::string::npos);
+    }
+
+    SECTION("is answered when its route's time is over, and the server's work is ended")
+    {
+        fixture.first.script = [](const std::string&) { return Reply { .bytes = "", .isHeld = true }; };
+        const TimePoint start = Clock::now();
+        const std::string text = fixture.exchange(requestBytes("r1", "/brief/1"), "3000");
+        CHECK(text.starts_with("HTTP/1.1 504"));
+        CHECK(Clock::now() - start < milliseconds(300 + 500));
+        fixture.runUntil([&] { return fixture.first.closedByPeer == 1; });
+    }
+
+    SECTION("ends at the server when the caller leaves")
+    {
+        fixture.first.script = [](const std::string&) { return Reply { .bytes = "", .isHeld = true }; };
+        auto caller = fixture.open(requestBytes("r1", "/safe/1"));
+        fixture.runUntil([&] { return fixture.first.requests.size() == 1; });
+        caller->close();
+        fixture.runUntil([&] { return fixture.first.closedByPeer == 1; });
+        fixture.runUntil([&] { return fixture.sessions->inProgress == 0; });
+        CHECK(fixture.catalog->find("s1")->inFlight == 0);
+    }
+
+    SECTION("outlives a change of the configuration that drops its route")
+    {
+        fixture.first.script = [](const std::string& request) {
+            return Reply { .bytes = answerBytes(idOf(request), "whole"), .isHeld = true };
+        };
+        auto caller = fixture.open(requestBytes("r1", "/safe/1"));
+        fixture.runUntil([&] { return fixture.first.requests.size() == 1; });
+        fixture.configure(2, "/moved/");
+        fixture.first.release();
+        CHECK(fixture.receive(caller, "whole").starts_with("HTTP/1.1 200"));
+        CHECK(fixture.exchange(requestBytes("r2", "/safe/1"), "4003").starts_with("HTTP/1.1 404"));
+    }
+
+    SECTION("is refused as not run when the server left while it was placed nowhere else")
+    {
+        fixture.catalog->remove("s1");
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "2002");
+        CHECK(text.starts_with("HTTP/1.1 503"));
+        CHECK(text.find("Retry-After: ") != std::string::npos);
+        CHECK(fixture.first.requests.empty());
+    }
+}
+
+TEST_CASE("Requests sent one after another without waiting")
+{
+    Fixture fixture;
+
+    SECTION("are answered in their order, although a later one is ready first")
+    {
+        fixture.first.script = [](const std::string& request) {
+            const std::string id = idOf(request);
+            return Reply { .bytes = answerBytes(id, "body-" + id), .isHeld = id == "r1" };
+        };
+        auto caller = fixture.open(requestBytes("r1", "/safe/1") + requestBytes("r2", "/safe/2"));
+        fixture.runUntil([&] { return fixture.first.requests.size() == 2; });
+        fixture.first.release();
+        const std::string text = fixture.receive(caller, "body-", 2);
+        CHECK(text.find("body-r1") < text.find("body-r2"));
+    }
+
+    SECTION("start only when it is their turn if they must not run twice")
+    {
+        fixture.first.script = [](const std::string& request) {
+            const std::string id = idOf(request);
+            return Reply { .bytes = answerBytes(id, "body-" + id), .isHeld = id == "r1" };
+        };
+        auto caller = fixture.open(requestBytes("r1", "/safe/1") + requestBytes("r2", "/once/2", "POST"));
+        fixture.runUntil([&] { return fixture.sessions->inProgress == 2 && fixture.first.requests.size() == 1; });
+        CHECK(fixture.first.requests.size() == 1);
+        fixture.first.release();
+        CHECK(fixture.receive(caller, "body-", 2).find("body-r2") != std::string::npos);
+    }
+
+    SECTION("a broken request behind a good one does not take the good one's answer")
+    {
+        auto caller = fixture.open(requestBytes("r1", "/safe/1") + "BROKEN\r\n\r\n");
+        const std::string text = fixture.receive(caller, "HTTP/1.1 400");
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK(text.find("HTTP/1.1 400") != std::string::npos);
+    }
+}
+
+TEST_CASE("What a caller must not send")
+{
+    Fixture fixture;
+    std::string request;
+    std::string status;
+
+    SECTION("two lengths that differ, which would hide a request in a body")
+    {
+        request = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nContent-Length: 2\r\n"
+                  "Content-Length: 40\r\n\r\nhi";
+        status = "400";
+    }
+    SECTION("a length together with chunks")
+    {
+        request = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nContent-Length: 2\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        status = "400";
+    }
+    SECTION("a chunk length that is no number")
+    {
+        request = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
+        status = "400";
+    }
+    SECTION("a header over the limit")
+    {
+        request = "GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nX-Long: " + std::string(4000, 'a') + "\r\n\r\n";
+        status = "431";
+    }
+    SECTION("a body over the limit")
+    {
+        request = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nContent-Length: 5000\r\n\r\n";
+        status = "413";
+    }
+    SECTION("no id")
+    {
+        request = "GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+        status = "400";
+    }
+    const std::string text = fixture.exchange(request, "HTTP/1.1 " + status);
+    CHECK(text.starts_with("HTTP/1.1 " + status));
+    CHECK(fixture.first.requests.empty());
+}
+
+TEST_CASE("A stop")
+{
+    Fixture fixture;
+
+    SECTION("refuses new requests as not run and tells the caller to connect elsewhere")
+    {
+        fixture.sessions->isStopping = true;
+        fixture.sessions->refusesNew = true;
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "2009");
+        CHECK(text.starts_with("HTTP/1.1 503"));
+        CHECK(text.find("Connection: close\r\n") != std::string::npos);
+        CHECK(fixture.first.requests.empty());
+    }
+
+    SECTION("completes the request under way and closes the connection after its answer")
+    {
+        fixture.first.script = [](const std::string& request) {
+            return Reply { .bytes = answerBytes(idOf(request), "whole"), .isHeld = true };
+        };
+        auto caller = fixture.open(requestBytes("r1", "/once/1", "POST"));
+        fixture.runUntil([&] { return fixture.first.requests.size() == 1; });
+        fixture.sessions->isStopping = true;
+        fixture.server->stopAccepting();
+        fixture.server->closeIdle();
+        fixture.first.release();
+        const std::string text = fixture.receive(caller, "whole");
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK(text.find("Connection: close\r\n") != std::string::npos);
+    }
+}
--- /dev/null
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -0,0 +1,150 @@
+#include "forwarding/beatexchange.h"
+#include "forwarding/instancetable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace clementinefall;
+using namespace clementinefall::forwarding;
+
+namespace {
+
+const TimePoint start { seconds(1000) };
+
+InstanceInfo instanceOf(const std::string& name, const std::string& zone, const std::string& region, std::uint16_t port)
+{
+    return { .name = name,
+        .zone = zone,
+        .region = region,
+        .callers = { "127.0.0.1", port },
+        .beats = { "127.0.0.1", static_cast<std::uint16_t>(port + 1) },
+        .incarnation = port };
+}
+
+Beat beatOf(const InstanceInfo& info, InstanceState state)
+{
+    Beat beat;
+    beat.name = info.name;
+    beat.incarnation = info.incarnation;
+    beat.state = state;
+    return beat;
+}
+
+} // namespace
+
+TEST_CASE("Entry instances that lookups name")
+{
+    InstanceTable table(instanceOf("self", "a", "north", 100));
+    const InstanceInfo neighbour = instanceOf("neighbour", "a", "north", 200);
+    const InstanceInfo other = instanceOf("other", "b", "north", 300);
+    const InstanceInfo far = instanceOf("far", "c", "south", 400);
+    table.setRegistered({ neighbour, other, far, instanceOf("self", "a", "north", 100) }, start);
+    const auto ports = [&table](const std::string& zone, const std::string& region, bool ready, TimePoint at) {
+        std::vector<int> result;
+        for (const HostPort& address : table.callerAddresses(zone, region, ready, 64, at))
+            result.push_back(address.port);
+        return result;
+    };
+
+    SECTION("callers get the instances of their zone, also of a zone that is not this one's")
+    {
+        CHECK(ports("a", "north", true, start) == std::vector<int> { 100, 200 });
+        CHECK(ports("c", "south", true, start) == std::vector<int> { 400 });
+    }
+
+    SECTION("an instance that died is not named for longer than a few beats")
+    {
+        CHECK(ports("a", "north", true, start + milliseconds(3100)) == std::vector<int> { 100 });
+        CHECK(ports("b", "north", true, start + milliseconds(3100)) == std::vector<int> { 100 });
+    }
+
+    SECTION("beats keep it named while the store is away")
+    {
+        CHECK(table.note(beatOf(neighbour, InstanceState::Ready), start + seconds(60)));
+        CHECK(ports("a", "north", true, start + seconds(62)) == std::vector<int> { 100, 200 });
+    }
+
+    SECTION("an instance that stops is no longer named at once")
+    {
+        table.note(beatOf(neighbour, InstanceState::Stopping), start);
+        CHECK(ports("a", "north", true, start) == std::vector<int> { 100 });
+    }
+
+    SECTION("beats of an earlier incarnation do not bring a restarted instance back")
+    {
+        Beat old = beatOf(neighbour, InstanceState::Ready);
+        old.incarnation = 1;
+        CHECK_FALSE(table.note(old, start + seconds(10)));
+        CHECK(ports("a", "north", true, start + seconds(10)) == std::vector<int> { 100 });
+    }
+
+    SECTION("when the own zone has none, the region's are named, then all")
+    {
+        CHECK(ports("a", "north", false, start) == std::vector<int> { 200 });
+        table.remove("neighbour");
+        CHECK(ports("a", "north", false, start) == std::vector<int> { 300 });
+        table.remove("other");
+        CHECK(ports("a", "north", false, start) == std::vector<int> { 400 });
+    }
+
+    SECTION("an answer names a bounded number")
+    {
+        std::vector<InstanceInfo> many;
+        for (std::uint16_t i = 0; i < 200; ++i)
+            many.push_back(instanceOf("m" + std::to_string(i), "a", "north", static_cast<std::uint16_t>(1000 + i)));
+        table.setRegistered(many, start);
+        CHECK(table.callerAddresses("a", "north", true, 64, start).size() == 64);
+    }
+}
+
+TEST_CASE("Beats")
+{
+    Beat beat;
+    beat.name = "self";
+    beat.incarnation = 77;
+    beat.state = InstanceState::Ready;
+    beat.inFlight = { { "s1", 3 } };
+    beat.regionUse = { { "stock", 0.5 } };
+    requests::CrashMark mark;
+    mark.fingerprint = { 1, 2 };
+    mark.service = "stock";
+    mark.server = "s1";
+    mark.reporter = 9;
+    mark.number = 1;
+    mark.inFlight = 2;
+    mark.at = start - milliseconds(400);
+    beat.crashMarks = { mark };
+
+    SECTION("a beat arrives as it was sent, with ages instead of times")
+    {
+        const Result<Beat> read = decodeBeat(encodeBeat(beat, start), start + seconds(100));
+        REQUIRE(isOk(read));
+        CHECK(valueOf(read).name == "self");
+        CHECK(valueOf(read).state == InstanceState::Ready);
+        CHECK(valueOf(read).inFlight == beat.inFlight);
+        CHECK(valueOf(read).regionUse == beat.regionUse);
+        REQUIRE(valueOf(read).crashMarks.size() == 1);
+        CHECK(valueOf(read).crashMarks[0].at == start + seconds(100) - milliseconds(400));
+    }
+
+    SECTION("a beat never outgrows one datagram")
+    {
+        for (int i = 0; i < 500; ++i)
+            beat.inFlight["server-" + std::to_string(i)] = 1;
+        CHECK(encodeBeat(beat, start).size() <= maximumBeatBytes);
+    }
+
+    SECTION("bytes that are no beat are an error and nothing else")
+    {
+        for (const std::string text : { "", "{}", "[]", "{\"version\":1}", "\xff\xfe", "{\"version\":2,\"name\":\"x\"}" })
+            CHECK_FALSE(isOk(decodeBeat(text, start)));
+    }
+
+    SECTION("an instance sends a bounded number a second, and often enough to count as alive")
+    {
+        const BeatTiming timing;
+        for (const std::size_t others : { 1, 11, 86, 299 }) {
+            CHECK(beatInterval(timing, true, others) <= InstanceTable::liveTime / 2);
+            CHECK(beatInterval(timing, false, others) <= InstanceTable::liveTime / 2);
+        }
+    }
+}
--- /dev/null
+++ b/src/libs/forwarding/tst_regionspill.cpp
@@ -0,0 +1,102 @@
+#include "forwarding/regionspill.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+
+using namespace clementinefall;
+using namespace clementinefall::forwarding;
+
+namespace {
+
+constexpr std::uint64_t objects = 2000;
+
+std::map<std::string, int> countTargets(const RegionSpill& spill)
+{
+    std::map<std::string, int> counts;
+    for (std::uint64_t object = 1; object <= objects; ++object)
+        ++counts[spillTarget(spill, object * 7919)];
+    return counts;
+}
+
+int countMoved(const RegionSpill& before, const RegionSpill& after)
+{
+    int moved = 0;
+    for (std::uint64_t object = 1; object <= objects; ++object)
+        moved += spillTarget(before, object * 7919) != spillTarget(after, object * 7919) ? 1 : 0;
+    return moved;
+}
+
+} // namespace
+
+TEST_CASE("Traffic that runs in other regions")
+{
+    RegionSpill spill;
+
+    SECTION("a busy region sends its objects to the least used one, a bounded part in each second")
+    {
+        const std::map<std::string, double> uses { { "east", 0.6 }, { "west", 0.1 } };
+        for (int i = 0; i < 40; ++i)
+            updateSpill(spill, 2.0, uses, milliseconds(250));
+        CHECK(spill.shares["east"] == 0);
+        CHECK(spill.shares["west"] > 0.3);
+        CHECK(spill.shares["west"] <= 10 * spillChangePerSecond + 1e-9);
+        const auto counts = countTargets(spill);
+        CHECK(std::abs(counts.at("west") / double(objects) - spill.shares["west"]) < 0.04);
+    }
+
+    SECTION("two seconds never move as much as the bound for shifts between regions allows")
+    {
+        const double allowed = 0.15;
+        RegionSpill before;
+        for (int i = 0; i < 8; ++i)
+            updateSpill(spill, 5.0, { { "east", 0.0 }, { "west", 0.01 } }, milliseconds(250));
+        CHECK(countMoved(before, spill) < allowed * objects);
+        // A tick that comes late after a freeze does not catch up.
+        const RegionSpill frozen = spill;
+        updateSpill(spill, 5.0, { { "east", 0.0 } }, seconds(30));
+        CHECK(spill.shares["east"] - frozen.shares.at("east") <= spillChangePerSecond + 1e-9);
+    }
+
+    SECTION("nothing is sent to a region that is nearly full itself")
+    {
+        for (int i = 0; i < 40; ++i)
+            updateSpill(spill, 3.0, { { "east", 0.85 } }, milliseconds(250));
+        CHECK(spill.total() == 0);
+    }
+
+    SECTION("the share stays while the regions are about equal, and returns when the own one is less busy")
+    {
+        spill.shares["east"] = 0.4;
+        spill.ownUse = 0.5;
+        for (int i = 0; i < 40; ++i)
+            updateSpill(spill, 0.5, { { "east", 0.5 } }, milliseconds(250));
+        CHECK(spill.shares["east"] == Approx(0.4));
+        for (int i = 0; i < 60; ++i)
+            updateSpill(spill, 0.2, { { "east", 0.6 } }, milliseconds(250));
+        CHECK(spill.shares["east"] < 0.1);
+    }
+
+    SECTION("a region that has no server left gets nothing")
+    {
+        spill.shares["east"] = 0.4;
+        updateSpill(spill, 1.0, { { "west", 0.9 } }, milliseconds(250));
+        CHECK(spill.total() == 0);
+    }
+}
+
+TEST_CASE("Shares before the first request")
+{
+    SECTION("a small region starts with the share that uses all regions alike")
+    {
+        const std::map<std::string, RegionCapacity> regions { { "big", { 48, 4 } }, { "mid", { 36, 4 } },
+            { "small", { 12, 4 } } };
+        const auto shares = initialSpillShares(regions, "small");
+        REQUIRE(shares.size() == 2);
+        CHECK(shares.at("big") + shares.at("mid") == Approx(1 - 12.0 / 32));
+        CHECK(shares.at("big") > shares.at("mid"));
+        CHECK(initialSpillShares(regions, "big").size() <= 1);
+        RegionSpill none { initialSpillShares(regions, "big"), 0.0 };
+        CHECK(none.total() == 0);
+    }
+}
