--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -126,14 +126,25 @@
     std::string trail; ///< `server:end` of each attempt, for the log.
 };
 
+void RequestTicket::interrupt()
+{
+    if (!this->onCancel)
+        return;
+    const auto interruption = std::move(this->onCancel);
+    this->onCancel = {};
+    interruption();
+}
+
 void RequestTicket::cancel()
 {
     this->isCancelled = true;
-    if (this->onCancel) {
-        const auto interrupt = std::move(this->onCancel);
-        this->onCancel = {};
-        interrupt();
-    }
+    this->interrupt();
+}
+
+void RequestTicket::end()
+{
+    this->mustEnd = true;
+    this->interrupt();
 }
 
 Forwarder::Forwarder(asio::any_io_executor forwarderExecutor, ForwarderSettings forwarderSettings,
@@ -305,6 +316,30 @@
 }
 
 Awaitable<Forwarder::Outcome> Forwarder::forward(std::shared_ptr<RequestTicket> ticket)
+{
+    const auto self = this->shared_from_this();
+    this->active.insert(ticket.get());
+    Outcome outcome = co_await this->carry(ticket);
+    this->active.erase(ticket.get());
+    co_return outcome;
+}
+
+void Forwarder::refuseWaiting()
+{
+    this->refusesWaiting = true;
+    for (auto& [service, room] : this->waitingRooms)
+        room.wake(room.size());
+}
+
+void Forwarder::endAll()
+{
+    const std::vector<RequestTicket*> tickets { this->active.begin(), this->active.end() };
+    // Ending one request resumes others only through the event loop, so the tickets stay valid meanwhile.
+    for (RequestTicket* ticket : tickets)
+        ticket->end();
+}
+
+Awaitable<Forwarder::Outcome> Forwarder::carry(std::shared_ptr<RequestTicket> ticket)
 {
     const auto self = this->shared_from_this();
     Job job;
@@ -344,6 +379,11 @@
     std::optional<ServerAnswer> failed; ///< A server's own failure, passed on when no retry does better.
     while (!ticket->isCancelled) {
         const TimePoint now = Clock::now();
+        if (ticket->mustEnd) {
+            last = job.mayHaveRun ? makeError(ResultCode::UnknownTimeout, "this instance stops before the answer came")
+                                  : makeError(ResultCode::NotRunStopping, "this instance is stopping");
+            break;
+        }
         if (now >= job.deadline) {
             last = job.mayHaveRun ? makeError(ResultCode::UnknownTimeout, "no answer before the deadline")
                                   : makeError(ResultCode::NotRunDeadline, "the deadline passed before it was sent");
@@ -353,8 +393,10 @@
         if (!placement.server) {
             if (job.mayHaveRun || failed)
                 break;
-            if (job.arrivals == 0 && co_await this->waitForRoom(job))
+            if (job.arrivals == 0 && !this->refusesWaiting && co_await this->waitForRoom(job))
                 continue;
+            if (this->refusesWaiting)
+                last = makeError(ResultCode::NotRunStopping, "this instance is stopping");
             if (last.code == ResultCode::NotRunNoServer && placement.wasTooLate)
                 last = makeError(ResultCode::NotRunNoCapacity, "no server of {} would answer in time", job.service);
             break;
@@ -389,7 +431,7 @@
         last = makeError(requests::codeOfAttempt(answer->end), "{}: {}", server->entry.id, answer->detail);
         if (!requests::isProvenNotRun(answer->end))
             job.mayHaveRun = true;
-        if (!this->shouldRetry(job, *answer, Clock::now()))
+        if (!ticket->mustEnd && !this->shouldRetry(job, *answer, Clock::now()))
             break;
     }
     if (ticket->isCancelled)
@@ -433,10 +475,10 @@
         ticket->onCancel = {};
         // The server may have left, or turned cold, while the connection was opened.
         const bool stillFits = isUsable(*server) && (wasCold || !isCold(*server, Clock::now()));
-        if (!connected || ticket->isCancelled || !stillFits) {
+        if (!connected || ticket->isCancelled || ticket->mustEnd || !stillFits) {
             connection->close();
             --server->inFlight;
-            if (!connected && !ticket->isCancelled)
+            if (!connected && !ticket->isCancelled && !ticket->mustEnd)
                 this->noteConnectFailure(server, Clock::now());
             job.trail += fmt::format("{}:connect ", server->entry.id);
             co_return std::nullopt;
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace clementinefall::forwarding {
@@ -31,11 +32,17 @@
 struct RequestTicket {
     std::shared_ptr<ForwardedRequest> request;
     AnswerSink* sink = nullptr; ///< Takes a long answer in pieces.
-    bool isCancelled = false;
+    bool isCancelled = false; ///< The caller has left.
+    bool mustEnd = false; ///< The instance stops and waits no longer.
     std::function<void()> onCancel; ///< Set while something can be interrupted.
 
     /// The caller has left: whatever still runs for the request is ended.
     void cancel();
+    /// Ends what still runs; the request is answered as unknown, or as not run if nothing was sent.
+    void end();
+
+private:
+    void interrupt();
 };
 
 /// Carries requests of callers to backend servers. Runs on one thread.
@@ -56,6 +63,13 @@
     };
     Awaitable<Outcome> forward(std::shared_ptr<RequestTicket> ticket);
 
+    /// For a stop: requests that wait for room are refused now, and later ones do not wait.
+    void refuseWaiting();
+    /// For the end of a stop: every request is answered now. An answer that is ready may be behind one that is not.
+    void endAll();
+    /// Requests whose outcome is not known yet.
+    std::size_t activeRequests() const { return this->active.size(); }
+
     /// Names of the live entry instances of the region, by which senders to cold servers are chosen; the number of
     /// those in the own zone, and of all, which share the retry budget.
     void setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize,
@@ -91,6 +105,7 @@
         unsigned freshPlacements = 0;
     };
 
+    Awaitable<Outcome> carry(std::shared_ptr<RequestTicket> ticket);
     std::shared_ptr<RouteState> stateOf(const Route& route);
     Placement place(Job& job, TimePoint now);
     bool mayUseCold(const BackendServer& server, TimePoint now) const;
@@ -122,6 +137,8 @@
         TimePoint at {};
     };
     std::map<std::pair<std::string, std::string>, ReportedUse> reportedUses; ///< By region and service.
+    std::set<RequestTicket*> active; ///< Requests between forward() and its end.
+    bool refusesWaiting = false;
     std::map<std::string, RegionSpill> spills; ///< By service.
     TimePoint lastTick {};
     TimePoint nextSummary {};
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -294,7 +294,8 @@
     {
         fixture.first.script = [](const std::string& request) {
             const std::string id = idOf(request);
-            return Reply { id == "r1" ? answerBytes(id, "first") : answerBytes("r1", "stale") + answerBytes(id, "own") };
+            return Reply { id == "r1" ? answerBytes(id, "first")
+                                      : answerBytes("r1", "stale") + answerBytes(id, "own") };
         };
         fixture.exchange(requestBytes("r1", "/safe/1"), "first");
         const std::string text = fixture.exchange(requestBytes("r2", "/safe/2"), "own");
@@ -318,7 +319,8 @@
         }
         SECTION("whole")
         {
-            fixture.second.script = [](const std::string& request) { return Reply { answerBytes(idOf(request), "good") }; };
+            fixture.second.script
+                = [](const std::string& request) { return Reply { answerBytes(idOf(request), "good") }; };
             fixture.addServer("s2", fixture.second.port());
             for (int i = 0; i < 4; ++i) {
                 const std::string id = "r" + std::to_string(i);
@@ -361,9 +363,8 @@
         std::string fields;
         SECTION("no seal") { fields = ""; }
         SECTION("encoding") { fields = "X-Seal: s\r\nContent-Encoding: gzip\r\n"; }
-        fixture.first.script = [fields](const std::string& request) {
-            return Reply { answerBytes(idOf(request), "whole", fields) };
-        };
+        fixture.first.script
+            = [fields](const std::string& request) { return Reply { answerBytes(idOf(request), "whole", fields) }; };
         CHECK(fixture.exchange(requestBytes("r1", "/once/1", "POST"), "3005").starts_with("HTTP/1.1 502"));
     }
 
@@ -491,7 +492,8 @@
     }
     SECTION("a header over the limit")
     {
-        request = "GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nX-Long: " + std::string(4000, 'a') + "\r\n\r\n";
+        request = "GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nX-Long: " + std::string(4000, 'a')
+            + "\r\n\r\n";
         status = "431";
     }
     SECTION("a body over the limit")
@@ -523,6 +525,35 @@
         CHECK(fixture.first.requests.empty());
     }
 
+    SECTION("delivers an answer that is ready although the one before it on the connection never comes")
+    {
+        fixture.first.script = [](const std::string& request) {
+            const std::string id = idOf(request);
+            return Reply { .bytes = answerBytes(id, "body-" + id), .isHeld = id == "r1" };
+        };
+        auto caller = fixture.open(requestBytes("r1", "/safe/1") + requestBytes("r2", "/safe/2"));
+        fixture.runUntil(
+            [&] { return fixture.first.requests.size() == 2 && fixture.forwarder->activeRequests() == 1; });
+        fixture.forwarder->endAll();
+        const std::string text = fixture.receive(caller, "body-r2");
+        CHECK(text.starts_with("HTTP/1.1 504"));
+        CHECK(text.find("body-r2") != std::string::npos);
+    }
+
+    SECTION("refuses requests that wait for room, as not run")
+    {
+        fixture.first.script = [](const std::string&) { return Reply { .bytes = "", .isHeld = true }; };
+        std::vector<std::shared_ptr<tcp::socket>> callers;
+        for (int i = 0; i < 20; ++i)
+            callers.push_back(fixture.open(requestBytes("r" + std::to_string(i), "/once/1", "POST")));
+        fixture.runUntil([&] { return fixture.sessions->inProgress == 20 && fixture.first.requests.size() >= 4; });
+        const std::size_t sent = fixture.first.requests.size();
+        REQUIRE(sent < 20);
+        fixture.forwarder->refuseWaiting();
+        fixture.runUntil([&] { return fixture.sessions->inProgress == sent; });
+        CHECK(fixture.first.requests.size() == sent);
+    }
+
     SECTION("completes the request under way and closes the connection after its answer")
     {
         fixture.first.script = [](const std::string& request) {
--- a/src/libs/forwarding/tst_configuration.cpp
+++ b/src/libs/forwarding/tst_configuration.cpp
@@ -22,8 +22,8 @@
 TEST_CASE("Routes of a configuration")
 {
     Configuration configuration;
-    configuration.routes = { routeTo("all", "/", "a"), routeTo("stock", "/stock/", "b"),
-        routeTo("stock-old", "/stock/old/", "c") };
+    configuration.routes
+        = { routeTo("all", "/", "a"), routeTo("stock", "/stock/", "b"), routeTo("stock-old", "/stock/old/", "c") };
     configuration.routes[1].host = "shop.example";
 
     SECTION("the longest prefix of the path wins, whatever the order of the routes")
@@ -44,10 +44,7 @@
         CHECK(findRoute(configuration, "shop.example", "/?x=/stock/old/")->name == "all");
     }
 
-    SECTION("another host has no route")
-    {
-        CHECK(findRoute(configuration, "other.example", "/stock/7") == nullptr);
-    }
+    SECTION("another host has no route") { CHECK(findRoute(configuration, "other.example", "/stock/7") == nullptr); }
 }
 
 TEST_CASE("Weighted services of a route")
@@ -72,8 +69,8 @@
 TEST_CASE("Routes that yield")
 {
     Configuration configuration;
-    configuration.routes = { routeTo("upload", "/u/", "files"), routeTo("archive", "/a/", "files"),
-        routeTo("lookup", "/l/", "stock") };
+    configuration.routes
+        = { routeTo("upload", "/u/", "files"), routeTo("archive", "/a/", "files"), routeTo("lookup", "/l/", "stock") };
     configuration.routes[0].priority = 1;
     configuration.routes[0].targetLatency = milliseconds(600);
     configuration.routes[1].priority = 2;
--- a/src/libs/forwarding/tst_forwardedrequest.cpp
+++ b/src/libs/forwarding/tst_forwardedrequest.cpp
@@ -51,8 +51,7 @@
         header.set("X-Kept", "1");
         const auto request = decode(header);
         REQUIRE(isOk(request));
-        const std::string head
-            = encodeRequestHead(valueOf(request), testNames(), "server-1", milliseconds(1500));
+        const std::string head = encodeRequestHead(valueOf(request), testNames(), "server-1", milliseconds(1500));
         CHECK(head.find("X-Hop") == std::string::npos);
         CHECK(head.find("Keep-Alive") == std::string::npos);
         CHECK(head.find("Transfer-Encoding") == std::string::npos);
@@ -64,8 +63,7 @@
     {
         header.set("X-Server", "server-of-the-caller");
         const auto request = decode(header);
-        const std::string head
-            = encodeRequestHead(valueOf(request), testNames(), "server-1", milliseconds(1500));
+        const std::string head = encodeRequestHead(valueOf(request), testNames(), "server-1", milliseconds(1500));
         CHECK(head.find("X-Server: server-1\r\n") != std::string::npos);
         CHECK(head.find("server-of-the-caller") == std::string::npos);
         CHECK(head.find("X-Left: 1500\r\n") != std::string::npos);
--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -135,7 +135,8 @@
 
     SECTION("bytes that are no beat are an error and nothing else")
     {
-        for (const std::string text : { "", "{}", "[]", "{\"version\":1}", "\xff\xfe", "{\"version\":2,\"name\":\"x\"}" })
+        for (const std::string text :
+            { "", "{}", "[]", "{\"version\":1}", "\xff\xfe", "{\"version\":2,\"name\":\"x\"}" })
             CHECK_FALSE(isOk(decodeBeat(text, start)));
     }
 
