--- a/src/libs/membership/membership.capnp.h
+++ b/src/libs/membership/membership.capnp.h
@@ -7,40 +7,40 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error                                                                                                                 \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(efa12f8de5497bb3);
-enum class State_efa12f8de5497bb3 : uint16_t {
-    LIVE,
-    SUSPECT,
-    LEAVING,
-    DEAD,
+enum class State_efa12f8de5497bb3: uint16_t {
+  LIVE,
+  SUSPECT,
+  LEAVING,
+  DEAD,
 };
 CAPNP_DECLARE_ENUM(State, efa12f8de5497bb3);
 CAPNP_DECLARE_SCHEMA(9cc2a5075ee93101);
-enum class Kind_9cc2a5075ee93101 : uint16_t {
-    PING,
-    ACK,
-    PING_REQUEST,
-    RELAYED_ACK,
-    TABLE_REQUEST,
-    TABLE_PAGE,
-    GOSSIP,
+enum class Kind_9cc2a5075ee93101: uint16_t {
+  PING,
+  ACK,
+  PING_REQUEST,
+  RELAYED_ACK,
+  TABLE_REQUEST,
+  TABLE_PAGE,
+  GOSSIP,
 };
 CAPNP_DECLARE_ENUM(Kind, 9cc2a5075ee93101);
 CAPNP_DECLARE_SCHEMA(b3f13bce5caee1fc);
 CAPNP_DECLARE_SCHEMA(c244581173530486);
 CAPNP_DECLARE_SCHEMA(f8f6d96d823f4b9a);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace clementinefall {
 namespace membership {
@@ -51,1053 +51,988 @@
 typedef ::capnp::schemas::Kind_9cc2a5075ee93101 Kind;
 
 struct Record {
-    Record() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(b3f13bce5caee1fc, 3, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  Record() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b3f13bce5caee1fc, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Report {
-    Report() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(c244581173530486, 2, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  Report() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c244581173530486, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Message {
-    Message() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(f8f6d96d823f4b9a, 5, 4)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  Message() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f8f6d96d823f4b9a, 5, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 // =======================================================================================
 
 class Record::Reader {
 public:
-    typedef Record Reads;
+  typedef Record Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasName() const;
-    inline ::capnp::Text::Reader getName() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-    inline bool hasZone() const;
-    inline ::capnp::Text::Reader getZone() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
-    inline bool hasAddress() const;
-    inline ::capnp::Text::Reader getAddress() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-    inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
-    inline ::uint32_t getRefutations() const;
+  inline  ::uint32_t getRefutations() const;
 
-    inline ::clementinefall::membership::wire::State getState() const;
+  inline  ::clementinefall::membership::wire::State getState() const;
 
-    inline ::uint16_t getSuspectAgeMs() const;
+  inline  ::uint16_t getSuspectAgeMs() const;
 
-    inline ::uint64_t getSupersedes() const;
+  inline  ::uint64_t getSupersedes() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Record::Builder {
 public:
-    typedef Record Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Record Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasName();
-    inline ::capnp::Text::Builder getName();
-    inline void setName(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initName(unsigned int size);
-    inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-    inline bool hasZone();
-    inline ::capnp::Text::Builder getZone();
-    inline void setZone(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initZone(unsigned int size);
-    inline void adoptZone(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownZone();
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
-    inline bool hasAddress();
-    inline ::capnp::Text::Builder getAddress();
-    inline void setAddress(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initAddress(unsigned int size);
-    inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownAddress();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-    inline ::uint64_t getIncarnation();
-    inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-    inline ::uint32_t getRefutations();
-    inline void setRefutations(::uint32_t value);
+  inline  ::uint32_t getRefutations();
+  inline void setRefutations( ::uint32_t value);
 
-    inline ::clementinefall::membership::wire::State getState();
-    inline void setState(::clementinefall::membership::wire::State value);
+  inline  ::clementinefall::membership::wire::State getState();
+  inline void setState( ::clementinefall::membership::wire::State value);
 
-    inline ::uint16_t getSuspectAgeMs();
-    inline void setSuspectAgeMs(::uint16_t value);
+  inline  ::uint16_t getSuspectAgeMs();
+  inline void setSuspectAgeMs( ::uint16_t value);
 
-    inline ::uint64_t getSupersedes();
-    inline void setSupersedes(::uint64_t value);
+  inline  ::uint64_t getSupersedes();
+  inline void setSupersedes( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Record::Pipeline {
 public:
-    typedef Record Pipelines;
+  typedef Record Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Report::Reader {
 public:
-    typedef Report Reads;
+  typedef Report Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getNewestBundle() const;
+  inline  ::uint64_t getNewestBundle() const;
 
-    inline bool hasNewestDigest() const;
-    inline ::capnp::Data::Reader getNewestDigest() const;
+  inline bool hasNewestDigest() const;
+  inline  ::capnp::Data::Reader getNewestDigest() const;
 
-    inline ::uint64_t getActingBundle() const;
+  inline  ::uint64_t getActingBundle() const;
 
-    inline bool hasHeadroom() const;
-    inline ::capnp::Data::Reader getHeadroom() const;
+  inline bool hasHeadroom() const;
+  inline  ::capnp::Data::Reader getHeadroom() const;
 
-    inline bool hasStatus() const;
-    inline ::capnp::Data::Reader getStatus() const;
+  inline bool hasStatus() const;
+  inline  ::capnp::Data::Reader getStatus() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Report::Builder {
 public:
-    typedef Report Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Report Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline ::uint64_t getNewestBundle();
-    inline void setNewestBundle(::uint64_t value);
-
-    inline bool hasNewestDigest();
-    inline ::capnp::Data::Builder getNewestDigest();
-    inline void setNewestDigest(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initNewestDigest(unsigned int size);
-    inline void adoptNewestDigest(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownNewestDigest();
-
-    inline ::uint64_t getActingBundle();
-    inline void setActingBundle(::uint64_t value);
-
-    inline bool hasHeadroom();
-    inline ::capnp::Data::Builder getHeadroom();
-    inline void setHeadroom(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initHeadroom(unsigned int size);
-    inline void adoptHeadroom(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownHeadroom();
-
-    inline bool hasStatus();
-    inline ::capnp::Data::Builder getStatus();
-    inline void setStatus(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initStatus(unsigned int size);
-    inline void adoptStatus(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownStatus();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNewestBundle();
+  inline void setNewestBundle( ::uint64_t value);
+
+  inline bool hasNewestDigest();
+  inline  ::capnp::Data::Builder getNewestDigest();
+  inline void setNewestDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initNewestDigest(unsigned int size);
+  inline void adoptNewestDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownNewestDigest();
+
+  inline  ::uint64_t getActingBundle();
+  inline void setActingBundle( ::uint64_t value);
+
+  inline bool hasHeadroom();
+  inline  ::capnp::Data::Builder getHeadroom();
+  inline void setHeadroom( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHeadroom(unsigned int size);
+  inline void adoptHeadroom(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHeadroom();
+
+  inline bool hasStatus();
+  inline  ::capnp::Data::Builder getStatus();
+  inline void setStatus( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initStatus(unsigned int size);
+  inline void adoptStatus(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownStatus();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Report::Pipeline {
 public:
-    typedef Report Pipelines;
+  typedef Report Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Message::Reader {
 public:
-    typedef Message Reads;
+  typedef Message Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::clementinefall::membership::wire::Kind getKind() const;
+  inline  ::clementinefall::membership::wire::Kind getKind() const;
 
-    inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
-    inline ::uint64_t getNonce() const;
+  inline  ::uint64_t getNonce() const;
 
-    inline bool hasSender() const;
-    inline ::clementinefall::membership::wire::Record::Reader getSender() const;
+  inline bool hasSender() const;
+  inline  ::clementinefall::membership::wire::Record::Reader getSender() const;
 
-    inline bool hasReport() const;
-    inline ::clementinefall::membership::wire::Report::Reader getReport() const;
+  inline bool hasReport() const;
+  inline  ::clementinefall::membership::wire::Report::Reader getReport() const;
 
-    inline bool hasTarget() const;
-    inline ::capnp::Text::Reader getTarget() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-    inline ::uint64_t getCursor() const;
+  inline  ::uint64_t getCursor() const;
 
-    inline bool getHasMore() const;
+  inline bool getHasMore() const;
 
-    inline bool hasUpdates() const;
-    inline ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
-    inline ::uint16_t getPresentMembers() const;
+  inline  ::uint16_t getPresentMembers() const;
 
-    inline ::uint64_t getTableDigest() const;
+  inline  ::uint64_t getTableDigest() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Message::Builder {
 public:
-    typedef Message Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef Message Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline ::clementinefall::membership::wire::Kind getKind();
-    inline void setKind(::clementinefall::membership::wire::Kind value);
-
-    inline ::uint64_t getSequence();
-    inline void setSequence(::uint64_t value);
-
-    inline ::uint64_t getNonce();
-    inline void setNonce(::uint64_t value);
-
-    inline bool hasSender();
-    inline ::clementinefall::membership::wire::Record::Builder getSender();
-    inline void setSender(::clementinefall::membership::wire::Record::Reader value);
-    inline ::clementinefall::membership::wire::Record::Builder initSender();
-    inline void adoptSender(::capnp::Orphan<::clementinefall::membership::wire::Record>&& value);
-    inline ::capnp::Orphan<::clementinefall::membership::wire::Record> disownSender();
-
-    inline bool hasReport();
-    inline ::clementinefall::membership::wire::Report::Builder getReport();
-    inline void setReport(::clementinefall::membership::wire::Report::Reader value);
-    inline ::clementinefall::membership::wire::Report::Builder initReport();
-    inline void adoptReport(::capnp::Orphan<::clementinefall::membership::wire::Report>&& value);
-    inline ::capnp::Orphan<::clementinefall::membership::wire::Report> disownReport();
-
-    inline bool hasTarget();
-    inline ::capnp::Text::Builder getTarget();
-    inline void setTarget(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initTarget(unsigned int size);
-    inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownTarget();
-
-    inline ::uint64_t getCursor();
-    inline void setCursor(::uint64_t value);
-
-    inline bool getHasMore();
-    inline void setHasMore(bool value);
-
-    inline bool hasUpdates();
-    inline ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Builder getUpdates();
-    inline void setUpdates(
-        ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Builder initUpdates(
-        unsigned int size);
-    inline void adoptUpdates(
-        ::capnp::Orphan<::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>>&& value);
-    inline ::capnp::Orphan<::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>>
-    disownUpdates();
-
-    inline ::uint16_t getPresentMembers();
-    inline void setPresentMembers(::uint16_t value);
-
-    inline ::uint64_t getTableDigest();
-    inline void setTableDigest(::uint64_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::clementinefall::membership::wire::Kind getKind();
+  inline void setKind( ::clementinefall::membership::wire::Kind value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getNonce();
+  inline void setNonce( ::uint64_t value);
+
+  inline bool hasSender();
+  inline  ::clementinefall::membership::wire::Record::Builder getSender();
+  inline void setSender( ::clementinefall::membership::wire::Record::Reader value);
+  inline  ::clementinefall::membership::wire::Record::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::clementinefall::membership::wire::Record>&& value);
+  inline ::capnp::Orphan< ::clementinefall::membership::wire::Record> disownSender();
+
+  inline bool hasReport();
+  inline  ::clementinefall::membership::wire::Report::Builder getReport();
+  inline void setReport( ::clementinefall::membership::wire::Report::Reader value);
+  inline  ::clementinefall::membership::wire::Report::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::clementinefall::membership::wire::Report>&& value);
+  inline ::capnp::Orphan< ::clementinefall::membership::wire::Report> disownReport();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint64_t getCursor();
+  inline void setCursor( ::uint64_t value);
+
+  inline bool getHasMore();
+  inline void setHasMore(bool value);
+
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>> disownUpdates();
+
+  inline  ::uint16_t getPresentMembers();
+  inline void setPresentMembers( ::uint16_t value);
+
+  inline  ::uint64_t getTableDigest();
+  inline void setTableDigest( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Message::Pipeline {
 public:
-    typedef Message Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef Message Pipelines;
 
-    inline ::clementinefall::membership::wire::Record::Pipeline getSender();
-    inline ::clementinefall::membership::wire::Report::Pipeline getReport();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::clementinefall::membership::wire::Record::Pipeline getSender();
+  inline  ::clementinefall::membership::wire::Report::Pipeline getReport();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool Record::Reader::hasName() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Record::Builder::hasName()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Record::Reader::getName() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Record::Builder::getName()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Record::Builder::setName(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Record::Builder::initName(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Record::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline bool Record::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan<::capnp::Text> Record::Builder::disownName()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Record::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Record::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Record::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Record::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Record::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Record::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Record::Reader::hasZone() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Record::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Record::Builder::hasZone()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Record::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Record::Reader::getZone() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Record::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Record::Builder::getZone()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Record::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Record::Builder::setZone(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Record::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Record::Builder::initZone(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Record::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Record::Builder::adoptZone(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Record::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Record::Builder::disownZone()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Record::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Record::Reader::hasAddress() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Record::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Record::Builder::hasAddress()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Record::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Record::Reader::getAddress() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Record::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Record::Builder::getAddress()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Record::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Record::Builder::setAddress(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Record::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Record::Builder::initAddress(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Record::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Record::Builder::adoptAddress(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Record::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Record::Builder::disownAddress()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Record::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Record::Reader::getIncarnation() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Record::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Record::Builder::getIncarnation()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Record::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Record::Builder::setIncarnation(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Record::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Record::Reader::getRefutations() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Record::Reader::getRefutations() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Record::Builder::getRefutations()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Record::Builder::getRefutations() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Record::Builder::setRefutations(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Record::Builder::setRefutations( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::clementinefall::membership::wire::State Record::Reader::getState() const
-{
-    return _reader.getDataField<::clementinefall::membership::wire::State>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::clementinefall::membership::wire::State Record::Reader::getState() const {
+  return _reader.getDataField< ::clementinefall::membership::wire::State>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::clementinefall::membership::wire::State Record::Builder::getState()
-{
-    return _builder.getDataField<::clementinefall::membership::wire::State>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::clementinefall::membership::wire::State Record::Builder::getState() {
+  return _builder.getDataField< ::clementinefall::membership::wire::State>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Record::Builder::setState(::clementinefall::membership::wire::State value)
-{
-    _builder.setDataField<::clementinefall::membership::wire::State>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Record::Builder::setState( ::clementinefall::membership::wire::State value) {
+  _builder.setDataField< ::clementinefall::membership::wire::State>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Record::Reader::getSuspectAgeMs() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Record::Reader::getSuspectAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Record::Builder::getSuspectAgeMs()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Record::Builder::getSuspectAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void Record::Builder::setSuspectAgeMs(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void Record::Builder::setSuspectAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Record::Reader::getSupersedes() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Record::Reader::getSupersedes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Record::Builder::getSupersedes()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Record::Builder::getSupersedes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Record::Builder::setSupersedes(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Record::Builder::setSupersedes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Report::Reader::getNewestBundle() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Report::Reader::getNewestBundle() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Report::Builder::getNewestBundle()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Report::Builder::getNewestBundle() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Report::Builder::setNewestBundle(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Report::Builder::setNewestBundle( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Report::Reader::hasNewestDigest() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Report::Reader::hasNewestDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Report::Builder::hasNewestDigest()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Report::Builder::hasNewestDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Report::Reader::getNewestDigest() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Report::Reader::getNewestDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Report::Builder::getNewestDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Report::Builder::getNewestDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Report::Builder::setNewestDigest(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Report::Builder::setNewestDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Report::Builder::initNewestDigest(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Report::Builder::initNewestDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Report::Builder::adoptNewestDigest(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Report::Builder::adoptNewestDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Report::Builder::disownNewestDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Report::Builder::disownNewestDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Report::Reader::getActingBundle() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Report::Reader::getActingBundle() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Report::Builder::getActingBundle()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Report::Builder::getActingBundle() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Report::Builder::setActingBundle(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Report::Builder::setActingBundle( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Report::Reader::hasHeadroom() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Report::Reader::hasHeadroom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Report::Builder::hasHeadroom()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Report::Builder::hasHeadroom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Report::Reader::getHeadroom() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Report::Reader::getHeadroom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Report::Builder::getHeadroom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Report::Builder::getHeadroom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Report::Builder::setHeadroom(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Report::Builder::setHeadroom( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Report::Builder::initHeadroom(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Report::Builder::initHeadroom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Report::Builder::adoptHeadroom(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Report::Builder::adoptHeadroom(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Report::Builder::disownHeadroom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Report::Builder::disownHeadroom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Report::Reader::hasStatus() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Report::Reader::hasStatus() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Report::Builder::hasStatus()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Report::Builder::hasStatus() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Report::Reader::getStatus() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Report::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Report::Builder::getStatus()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Report::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Report::Builder::setStatus(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Report::Builder::setStatus( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Report::Builder::initStatus(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Report::Builder::initStatus(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Report::Builder::adoptStatus(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Report::Builder::adoptStatus(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Report::Builder::disownStatus()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Report::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::clementinefall::membership::wire::Kind Message::Reader::getKind() const
-{
-    return _reader.getDataField<::clementinefall::membership::wire::Kind>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::clementinefall::membership::wire::Kind Message::Reader::getKind() const {
+  return _reader.getDataField< ::clementinefall::membership::wire::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::clementinefall::membership::wire::Kind Message::Builder::getKind()
-{
-    return _builder.getDataField<::clementinefall::membership::wire::Kind>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::clementinefall::membership::wire::Kind Message::Builder::getKind() {
+  return _builder.getDataField< ::clementinefall::membership::wire::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setKind(::clementinefall::membership::wire::Kind value)
-{
-    _builder.setDataField<::clementinefall::membership::wire::Kind>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setKind( ::clementinefall::membership::wire::Kind value) {
+  _builder.setDataField< ::clementinefall::membership::wire::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Message::Reader::getSequence() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Message::Builder::getSequence()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setSequence(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Message::Reader::getNonce() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Reader::getNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Message::Builder::getNonce()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Builder::getNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setNonce(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Message::Reader::hasSender() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Message::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasSender()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Message::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::clementinefall::membership::wire::Record::Reader Message::Reader::getSender() const
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Record>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::clementinefall::membership::wire::Record::Reader Message::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Record>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::clementinefall::membership::wire::Record::Builder Message::Builder::getSender()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Record>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::clementinefall::membership::wire::Record::Builder Message::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Record>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::clementinefall::membership::wire::Record::Pipeline Message::Pipeline::getSender()
-{
-    return ::clementinefall::membership::wire::Record::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Message::Builder::setSender(::clementinefall::membership::wire::Record::Reader value)
-{
-    ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Record>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::clementinefall::membership::wire::Record::Builder Message::Builder::initSender()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Record>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::adoptSender(::capnp::Orphan<::clementinefall::membership::wire::Record>&& value)
-{
-    ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Record>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::clementinefall::membership::wire::Record> Message::Builder::disownSender()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Record>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Message::Reader::hasReport() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Message::Builder::hasReport()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::clementinefall::membership::wire::Report::Reader Message::Reader::getReport() const
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Report>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::clementinefall::membership::wire::Report::Builder Message::Builder::getReport()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Report>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::clementinefall::membership::wire::Record::Pipeline Message::Pipeline::getSender() {
+  return  ::clementinefall::membership::wire::Record::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Message::Builder::setSender( ::clementinefall::membership::wire::Record::Reader value) {
+  ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Record>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::clementinefall::membership::wire::Record::Builder Message::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Record>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptSender(
+    ::capnp::Orphan< ::clementinefall::membership::wire::Record>&& value) {
+  ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Record>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::clementinefall::membership::wire::Record> Message::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Record>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::clementinefall::membership::wire::Report::Reader Message::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Report>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::clementinefall::membership::wire::Report::Builder Message::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Report>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::clementinefall::membership::wire::Report::Pipeline Message::Pipeline::getReport()
-{
-    return ::clementinefall::membership::wire::Report::Pipeline(_typeless.getPointerField(1));
+inline  ::clementinefall::membership::wire::Report::Pipeline Message::Pipeline::getReport() {
+  return  ::clementinefall::membership::wire::Report::Pipeline(_typeless.getPointerField(1));
 }
-#endif // !CAPNP_LITE
-inline void Message::Builder::setReport(::clementinefall::membership::wire::Report::Reader value)
-{
-    ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Report>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Message::Builder::setReport( ::clementinefall::membership::wire::Report::Reader value) {
+  ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Report>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::clementinefall::membership::wire::Report::Builder Message::Builder::initReport()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Report>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::clementinefall::membership::wire::Report::Builder Message::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Report>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::adoptReport(::capnp::Orphan<::clementinefall::membership::wire::Report>&& value)
-{
-    ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Report>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Message::Builder::adoptReport(
+    ::capnp::Orphan< ::clementinefall::membership::wire::Report>&& value) {
+  ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Report>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::clementinefall::membership::wire::Report> Message::Builder::disownReport()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::membership::wire::Report>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::clementinefall::membership::wire::Report> Message::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::membership::wire::Report>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::hasTarget() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Message::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasTarget()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Message::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Message::Reader::getTarget() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Message::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Message::Builder::getTarget()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Message::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setTarget(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Message::Builder::initTarget(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Message::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Message::Builder::adoptTarget(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Message::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Message::Builder::disownTarget()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Message::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Message::Reader::getCursor() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Reader::getCursor() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Message::Builder::getCursor()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Builder::getCursor() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setCursor(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setCursor( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Message::Reader::getHasMore() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool Message::Reader::getHasMore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool Message::Builder::getHasMore()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline bool Message::Builder::getHasMore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setHasMore(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setHasMore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Message::Reader::hasUpdates() const
-{
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool Message::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasUpdates()
-{
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool Message::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Reader
-Message::Reader::getUpdates() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::membership::wire::Record,
-        ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Builder
-Message::Builder::getUpdates()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::membership::wire::Record,
-        ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setUpdates(
-    ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setUpdates( ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>::Builder
-Message::Builder::initUpdates(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::membership::wire::Record,
-        ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Message::Builder::adoptUpdates(
-    ::capnp::Orphan<::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::clementinefall::membership::wire::Record, ::capnp::Kind::STRUCT>>
-Message::Builder::disownUpdates()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::membership::wire::Record,
-        ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>> Message::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::membership::wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t Message::Reader::getPresentMembers() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Message::Reader::getPresentMembers() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Message::Builder::getPresentMembers()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Message::Builder::getPresentMembers() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setPresentMembers(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setPresentMembers( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Message::Reader::getTableDigest() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Reader::getTableDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Message::Builder::getTableDigest()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Message::Builder::getTableDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setTableDigest(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setTableDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-} // namespace wire
-} // namespace membership
-} // namespace clementinefall
+}  // namespace
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/src/libs/peers/peers.capnp.h
+++ b/src/libs/peers/peers.capnp.h
@@ -7,13 +7,13 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error                                                                                                                 \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -25,10 +25,10 @@
 CAPNP_DECLARE_SCHEMA(adaf5f079159a768);
 CAPNP_DECLARE_SCHEMA(8228c6869949f4ab);
 CAPNP_DECLARE_SCHEMA(fbabeedecfadd1dc);
-enum class BundleKind_fbabeedecfadd1dc : uint16_t {
-    NONE,
-    DELTA,
-    FULL,
+enum class BundleKind_fbabeedecfadd1dc: uint16_t {
+  NONE,
+  DELTA,
+  FULL,
 };
 CAPNP_DECLARE_ENUM(BundleKind, fbabeedecfadd1dc);
 CAPNP_DECLARE_SCHEMA(c8b2b8b8a9d8be6a);
@@ -42,2504 +42,2375 @@
 CAPNP_DECLARE_SCHEMA(b8510535394850e6);
 CAPNP_DECLARE_SCHEMA(a001ed0ee9647b18);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace clementinefall {
 namespace peers {
 namespace wire {
 
 struct Gate {
-    Gate() = delete;
+  Gate() = delete;
 
 #if !CAPNP_LITE
-    class Client;
-    class Server;
-#endif // !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
 
-    struct HelloParams;
-    struct HelloResults;
-    struct AuthenticateParams;
-    struct AuthenticateResults;
+  struct HelloParams;
+  struct HelloResults;
+  struct AuthenticateParams;
+  struct AuthenticateResults;
 
-#if !CAPNP_LITE
-    struct _capnpPrivate {
-        CAPNP_DECLARE_INTERFACE_HEADER(ac1921955f4c9e34)
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    };
-#endif // !CAPNP_LITE
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(ac1921955f4c9e34)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
 };
 
 struct Gate::HelloParams {
-    HelloParams() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(b4d59b83c027fe2c, 2, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  HelloParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b4d59b83c027fe2c, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Gate::HelloResults {
-    HelloResults() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(eb0867f1a57e5f72, 1, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  HelloResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb0867f1a57e5f72, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Gate::AuthenticateParams {
-    AuthenticateParams() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(adaf5f079159a768, 0, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  AuthenticateParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(adaf5f079159a768, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Gate::AuthenticateResults {
-    AuthenticateResults() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(8228c6869949f4ab, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  AuthenticateResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8228c6869949f4ab, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 typedef ::capnp::schemas::BundleKind_fbabeedecfadd1dc BundleKind;
 
 struct SignOff {
-    SignOff() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(c8b2b8b8a9d8be6a, 0, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  SignOff() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c8b2b8b8a9d8be6a, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer {
-    Peer() = delete;
-
-#if !CAPNP_LITE
-    class Client;
-    class Server;
-#endif // !CAPNP_LITE
-
-    struct GetBundleParams;
-    struct GetBundleResults;
-    struct AnnounceParams;
-    struct AnnounceResults;
-    struct ReportCrashParams;
-    struct ReportCrashResults;
-    struct StatusParams;
-    struct StatusResults;
-
-#if !CAPNP_LITE
-    struct _capnpPrivate {
-        CAPNP_DECLARE_INTERFACE_HEADER(c5b34dbce012b8fa)
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    };
-#endif // !CAPNP_LITE
+  Peer() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct GetBundleParams;
+  struct GetBundleResults;
+  struct AnnounceParams;
+  struct AnnounceResults;
+  struct ReportCrashParams;
+  struct ReportCrashResults;
+  struct StatusParams;
+  struct StatusResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(c5b34dbce012b8fa)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
 };
 
 struct Peer::GetBundleParams {
-    GetBundleParams() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(edfe1996d871c532, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  GetBundleParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(edfe1996d871c532, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::GetBundleResults {
-    GetBundleResults() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(daf7eb477f9721ff, 2, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  GetBundleResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(daf7eb477f9721ff, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::AnnounceParams {
-    AnnounceParams() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(f753f6ce6d8ce29d, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  AnnounceParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f753f6ce6d8ce29d, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::AnnounceResults {
-    AnnounceResults() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(a6aaaa4ac1f5dc03, 0, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  AnnounceResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a6aaaa4ac1f5dc03, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::ReportCrashParams {
-    ReportCrashParams() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(fdc232cd39b47fda, 1, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  ReportCrashParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fdc232cd39b47fda, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::ReportCrashResults {
-    ReportCrashResults() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(a5a9abeaa02b6eae, 0, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  ReportCrashResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5a9abeaa02b6eae, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::StatusParams {
-    StatusParams() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(b8510535394850e6, 0, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  StatusParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8510535394850e6, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::StatusResults {
-    StatusResults() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(a001ed0ee9647b18, 0, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif // !CAPNP_LITE
-    };
+  StatusResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a001ed0ee9647b18, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 // =======================================================================================
 
 #if !CAPNP_LITE
-class Gate::Client : public virtual ::capnp::Capability::Client {
+class Gate::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-    typedef Gate Calls;
-    typedef Gate Reads;
-
-    Client(decltype(nullptr));
-    explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>> Client(::kj::Own<_t>&& server);
-    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
-    Client(::kj::Promise<_t>&& promise);
-    Client(::kj::Exception&& exception);
-    Client(Client&) = default;
-    Client(Client&&) = default;
-    Client& operator=(Client& other);
-    Client& operator=(Client&& other);
-
-    ::capnp::Request<::clementinefall::peers::wire::Gate::HelloParams,
-        ::clementinefall::peers::wire::Gate::HelloResults>
-    helloRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::clementinefall::peers::wire::Gate::AuthenticateParams,
-        ::clementinefall::peers::wire::Gate::AuthenticateResults>
-    authenticateRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  typedef Gate Calls;
+  typedef Gate Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::clementinefall::peers::wire::Gate::HelloParams,  ::clementinefall::peers::wire::Gate::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::clementinefall::peers::wire::Gate::AuthenticateParams,  ::clementinefall::peers::wire::Gate::AuthenticateResults> authenticateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-    Client() = default;
+  Client() = default;
 };
 
-class Gate::Server : public virtual ::capnp::Capability::Server {
+class Gate::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-    typedef Gate Serves;
+  typedef Gate Serves;
 
-    ::capnp::Capability::Server::DispatchCallResult dispatchCall(uint64_t interfaceId, uint16_t methodId,
-        ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
 protected:
-    typedef ::clementinefall::peers::wire::Gate::HelloParams HelloParams;
-    typedef ::clementinefall::peers::wire::Gate::HelloResults HelloResults;
-    typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-    virtual ::kj::Promise<void> hello(HelloContext context);
-    typedef ::clementinefall::peers::wire::Gate::AuthenticateParams AuthenticateParams;
-    typedef ::clementinefall::peers::wire::Gate::AuthenticateResults AuthenticateResults;
-    typedef ::capnp::CallContext<AuthenticateParams, AuthenticateResults> AuthenticateContext;
-    virtual ::kj::Promise<void> authenticate(AuthenticateContext context);
-
-    inline ::clementinefall::peers::wire::Gate::Client thisCap()
-    {
-        return ::capnp::Capability::Server::thisCap().template castAs<::clementinefall::peers::wire::Gate>();
-    }
-
-    ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-        uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  typedef  ::clementinefall::peers::wire::Gate::HelloParams HelloParams;
+  typedef  ::clementinefall::peers::wire::Gate::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
+  typedef  ::clementinefall::peers::wire::Gate::AuthenticateParams AuthenticateParams;
+  typedef  ::clementinefall::peers::wire::Gate::AuthenticateResults AuthenticateResults;
+  typedef ::capnp::CallContext<AuthenticateParams, AuthenticateResults> AuthenticateContext;
+  virtual ::kj::Promise<void> authenticate(AuthenticateContext context);
+
+  inline  ::clementinefall::peers::wire::Gate::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::clementinefall::peers::wire::Gate>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Gate::HelloParams::Reader {
 public:
-    typedef HelloParams Reads;
+  typedef HelloParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint16_t getMinimumVersion() const;
+  inline  ::uint16_t getMinimumVersion() const;
 
-    inline ::uint16_t getMaximumVersion() const;
+  inline  ::uint16_t getMaximumVersion() const;
 
-    inline bool hasNonce() const;
-    inline ::capnp::Data::Reader getNonce() const;
+  inline bool hasNonce() const;
+  inline  ::capnp::Data::Reader getNonce() const;
 
-    inline bool hasName() const;
-    inline ::capnp::Text::Reader getName() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-    inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Gate::HelloParams::Builder {
 public:
-    typedef HelloParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef HelloParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint16_t getMinimumVersion();
-    inline void setMinimumVersion(::uint16_t value);
+  inline  ::uint16_t getMinimumVersion();
+  inline void setMinimumVersion( ::uint16_t value);
 
-    inline ::uint16_t getMaximumVersion();
-    inline void setMaximumVersion(::uint16_t value);
+  inline  ::uint16_t getMaximumVersion();
+  inline void setMaximumVersion( ::uint16_t value);
 
-    inline bool hasNonce();
-    inline ::capnp::Data::Builder getNonce();
-    inline void setNonce(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initNonce(unsigned int size);
-    inline void adoptNonce(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownNonce();
+  inline bool hasNonce();
+  inline  ::capnp::Data::Builder getNonce();
+  inline void setNonce( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownNonce();
 
-    inline bool hasName();
-    inline ::capnp::Text::Builder getName();
-    inline void setName(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initName(unsigned int size);
-    inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownName();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-    inline ::uint64_t getIncarnation();
-    inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Gate::HelloParams::Pipeline {
 public:
-    typedef HelloParams Pipelines;
+  typedef HelloParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Gate::HelloResults::Reader {
 public:
-    typedef HelloResults Reads;
+  typedef HelloResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint16_t getCode() const;
+  inline  ::uint16_t getCode() const;
 
-    inline ::uint16_t getVersion() const;
+  inline  ::uint16_t getVersion() const;
 
-    inline bool hasNonce() const;
-    inline ::capnp::Data::Reader getNonce() const;
+  inline bool hasNonce() const;
+  inline  ::capnp::Data::Reader getNonce() const;
 
-    inline bool hasProof() const;
-    inline ::capnp::Data::Reader getProof() const;
+  inline bool hasProof() const;
+  inline  ::capnp::Data::Reader getProof() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Gate::HelloResults::Builder {
 public:
-    typedef HelloResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef HelloResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint16_t getCode();
-    inline void setCode(::uint16_t value);
+  inline  ::uint16_t getCode();
+  inline void setCode( ::uint16_t value);
 
-    inline ::uint16_t getVersion();
-    inline void setVersion(::uint16_t value);
+  inline  ::uint16_t getVersion();
+  inline void setVersion( ::uint16_t value);
 
-    inline bool hasNonce();
-    inline ::capnp::Data::Builder getNonce();
-    inline void setNonce(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initNonce(unsigned int size);
-    inline void adoptNonce(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownNonce();
+  inline bool hasNonce();
+  inline  ::capnp::Data::Builder getNonce();
+  inline void setNonce( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownNonce();
 
-    inline bool hasProof();
-    inline ::capnp::Data::Builder getProof();
-    inline void setProof(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initProof(unsigned int size);
-    inline void adoptProof(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownProof();
+  inline bool hasProof();
+  inline  ::capnp::Data::Builder getProof();
+  inline void setProof( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownProof();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Gate::HelloResults::Pipeline {
 public:
-    typedef HelloResults Pipelines;
+  typedef HelloResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Gate::AuthenticateParams::Reader {
 public:
-    typedef AuthenticateParams Reads;
+  typedef AuthenticateParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasProof() const;
-    inline ::capnp::Data::Reader getProof() const;
+  inline bool hasProof() const;
+  inline  ::capnp::Data::Reader getProof() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Gate::AuthenticateParams::Builder {
 public:
-    typedef AuthenticateParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AuthenticateParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasProof();
-    inline ::capnp::Data::Builder getProof();
-    inline void setProof(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initProof(unsigned int size);
-    inline void adoptProof(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownProof();
+  inline bool hasProof();
+  inline  ::capnp::Data::Builder getProof();
+  inline void setProof( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownProof();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Gate::AuthenticateParams::Pipeline {
 public:
-    typedef AuthenticateParams Pipelines;
+  typedef AuthenticateParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Gate::AuthenticateResults::Reader {
 public:
-    typedef AuthenticateResults Reads;
+  typedef AuthenticateResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint16_t getCode() const;
+  inline  ::uint16_t getCode() const;
 
-    inline bool hasPeer() const;
+  inline bool hasPeer() const;
 #if !CAPNP_LITE
-    inline ::clementinefall::peers::wire::Peer::Client getPeer() const;
-#endif // !CAPNP_LITE
+  inline  ::clementinefall::peers::wire::Peer::Client getPeer() const;
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Gate::AuthenticateResults::Builder {
 public:
-    typedef AuthenticateResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AuthenticateResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint16_t getCode();
-    inline void setCode(::uint16_t value);
+  inline  ::uint16_t getCode();
+  inline void setCode( ::uint16_t value);
 
-    inline bool hasPeer();
+  inline bool hasPeer();
 #if !CAPNP_LITE
-    inline ::clementinefall::peers::wire::Peer::Client getPeer();
-    inline void setPeer(::clementinefall::peers::wire::Peer::Client&& value);
-    inline void setPeer(::clementinefall::peers::wire::Peer::Client& value);
-    inline void adoptPeer(::capnp::Orphan<::clementinefall::peers::wire::Peer>&& value);
-    inline ::capnp::Orphan<::clementinefall::peers::wire::Peer> disownPeer();
-#endif // !CAPNP_LITE
+  inline  ::clementinefall::peers::wire::Peer::Client getPeer();
+  inline void setPeer( ::clementinefall::peers::wire::Peer::Client&& value);
+  inline void setPeer( ::clementinefall::peers::wire::Peer::Client& value);
+  inline void adoptPeer(::capnp::Orphan< ::clementinefall::peers::wire::Peer>&& value);
+  inline ::capnp::Orphan< ::clementinefall::peers::wire::Peer> disownPeer();
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Gate::AuthenticateResults::Pipeline {
 public:
-    typedef AuthenticateResults Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef AuthenticateResults Pipelines;
 
-    inline ::clementinefall::peers::wire::Peer::Client getPeer();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::clementinefall::peers::wire::Peer::Client getPeer();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class SignOff::Reader {
 public:
-    typedef SignOff Reads;
+  typedef SignOff Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasSigner() const;
-    inline ::capnp::Text::Reader getSigner() const;
+  inline bool hasSigner() const;
+  inline  ::capnp::Text::Reader getSigner() const;
 
-    inline bool hasSignature() const;
-    inline ::capnp::Data::Reader getSignature() const;
+  inline bool hasSignature() const;
+  inline  ::capnp::Data::Reader getSignature() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class SignOff::Builder {
 public:
-    typedef SignOff Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasSigner();
-    inline ::capnp::Text::Builder getSigner();
-    inline void setSigner(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initSigner(unsigned int size);
-    inline void adoptSigner(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownSigner();
-
-    inline bool hasSignature();
-    inline ::capnp::Data::Builder getSignature();
-    inline void setSignature(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initSignature(unsigned int size);
-    inline void adoptSignature(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownSignature();
+  typedef SignOff Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSigner();
+  inline  ::capnp::Text::Builder getSigner();
+  inline void setSigner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSigner(unsigned int size);
+  inline void adoptSigner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSigner();
+
+  inline bool hasSignature();
+  inline  ::capnp::Data::Builder getSignature();
+  inline void setSignature( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initSignature(unsigned int size);
+  inline void adoptSignature(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownSignature();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class SignOff::Pipeline {
 public:
-    typedef SignOff Pipelines;
+  typedef SignOff Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client : public virtual ::capnp::Capability::Client {
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-    typedef Peer Calls;
-    typedef Peer Reads;
-
-    Client(decltype(nullptr));
-    explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>> Client(::kj::Own<_t>&& server);
-    template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
-    Client(::kj::Promise<_t>&& promise);
-    Client(::kj::Exception&& exception);
-    Client(Client&) = default;
-    Client(Client&&) = default;
-    Client& operator=(Client& other);
-    Client& operator=(Client&& other);
-
-    ::capnp::Request<::clementinefall::peers::wire::Peer::GetBundleParams,
-        ::clementinefall::peers::wire::Peer::GetBundleResults>
-    getBundleRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::clementinefall::peers::wire::Peer::AnnounceParams,
-        ::clementinefall::peers::wire::Peer::AnnounceResults>
-    announceRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::clementinefall::peers::wire::Peer::ReportCrashParams,
-        ::clementinefall::peers::wire::Peer::ReportCrashResults>
-    reportCrashRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::clementinefall::peers::wire::Peer::StatusParams,
-        ::clementinefall::peers::wire::Peer::StatusResults>
-    statusRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::clementinefall::peers::wire::Peer::GetBundleParams,  ::clementinefall::peers::wire::Peer::GetBundleResults> getBundleRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::clementinefall::peers::wire::Peer::AnnounceParams,  ::clementinefall::peers::wire::Peer::AnnounceResults> announceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::clementinefall::peers::wire::Peer::ReportCrashParams,  ::clementinefall::peers::wire::Peer::ReportCrashResults> reportCrashRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::clementinefall::peers::wire::Peer::StatusParams,  ::clementinefall::peers::wire::Peer::StatusResults> statusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-    Client() = default;
+  Client() = default;
 };
 
-class Peer::Server : public virtual ::capnp::Capability::Server {
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-    typedef Peer Serves;
+  typedef Peer Serves;
 
-    ::capnp::Capability::Server::DispatchCallResult dispatchCall(uint64_t interfaceId, uint16_t methodId,
-        ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
 protected:
-    typedef ::clementinefall::peers::wire::Peer::GetBundleParams GetBundleParams;
-    typedef ::clementinefall::peers::wire::Peer::GetBundleResults GetBundleResults;
-    typedef ::capnp::CallContext<GetBundleParams, GetBundleResults> GetBundleContext;
-    virtual ::kj::Promise<void> getBundle(GetBundleContext context);
-    typedef ::clementinefall::peers::wire::Peer::AnnounceParams AnnounceParams;
-    typedef ::clementinefall::peers::wire::Peer::AnnounceResults AnnounceResults;
-    typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
-    virtual ::kj::Promise<void> announce(AnnounceContext context);
-    typedef ::clementinefall::peers::wire::Peer::ReportCrashParams ReportCrashParams;
-    typedef ::clementinefall::peers::wire::Peer::ReportCrashResults ReportCrashResults;
-    typedef ::capnp::CallContext<ReportCrashParams, ReportCrashResults> ReportCrashContext;
-    virtual ::kj::Promise<void> reportCrash(ReportCrashContext context);
-    typedef ::clementinefall::peers::wire::Peer::StatusParams StatusParams;
-    typedef ::clementinefall::peers::wire::Peer::StatusResults StatusResults;
-    typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
-    virtual ::kj::Promise<void> status(StatusContext context);
-
-    inline ::clementinefall::peers::wire::Peer::Client thisCap()
-    {
-        return ::capnp::Capability::Server::thisCap().template castAs<::clementinefall::peers::wire::Peer>();
-    }
-
-    ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-        uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  typedef  ::clementinefall::peers::wire::Peer::GetBundleParams GetBundleParams;
+  typedef  ::clementinefall::peers::wire::Peer::GetBundleResults GetBundleResults;
+  typedef ::capnp::CallContext<GetBundleParams, GetBundleResults> GetBundleContext;
+  virtual ::kj::Promise<void> getBundle(GetBundleContext context);
+  typedef  ::clementinefall::peers::wire::Peer::AnnounceParams AnnounceParams;
+  typedef  ::clementinefall::peers::wire::Peer::AnnounceResults AnnounceResults;
+  typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
+  virtual ::kj::Promise<void> announce(AnnounceContext context);
+  typedef  ::clementinefall::peers::wire::Peer::ReportCrashParams ReportCrashParams;
+  typedef  ::clementinefall::peers::wire::Peer::ReportCrashResults ReportCrashResults;
+  typedef ::capnp::CallContext<ReportCrashParams, ReportCrashResults> ReportCrashContext;
+  virtual ::kj::Promise<void> reportCrash(ReportCrashContext context);
+  typedef  ::clementinefall::peers::wire::Peer::StatusParams StatusParams;
+  typedef  ::clementinefall::peers::wire::Peer::StatusResults StatusResults;
+  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
+  virtual ::kj::Promise<void> status(StatusContext context);
+
+  inline  ::clementinefall::peers::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::clementinefall::peers::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::GetBundleParams::Reader {
 public:
-    typedef GetBundleParams Reads;
+  typedef GetBundleParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getHaveVersion() const;
+  inline  ::uint64_t getHaveVersion() const;
 
-    inline bool hasHaveDigest() const;
-    inline ::capnp::Data::Reader getHaveDigest() const;
+  inline bool hasHaveDigest() const;
+  inline  ::capnp::Data::Reader getHaveDigest() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::GetBundleParams::Builder {
 public:
-    typedef GetBundleParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef GetBundleParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getHaveVersion();
-    inline void setHaveVersion(::uint64_t value);
+  inline  ::uint64_t getHaveVersion();
+  inline void setHaveVersion( ::uint64_t value);
 
-    inline bool hasHaveDigest();
-    inline ::capnp::Data::Builder getHaveDigest();
-    inline void setHaveDigest(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initHaveDigest(unsigned int size);
-    inline void adoptHaveDigest(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownHaveDigest();
+  inline bool hasHaveDigest();
+  inline  ::capnp::Data::Builder getHaveDigest();
+  inline void setHaveDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHaveDigest(unsigned int size);
+  inline void adoptHaveDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHaveDigest();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::GetBundleParams::Pipeline {
 public:
-    typedef GetBundleParams Pipelines;
+  typedef GetBundleParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::GetBundleResults::Reader {
 public:
-    typedef GetBundleResults Reads;
+  typedef GetBundleResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::clementinefall::peers::wire::BundleKind getKind() const;
+  inline  ::clementinefall::peers::wire::BundleKind getKind() const;
 
-    inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
-    inline bool hasDigest() const;
-    inline ::capnp::Data::Reader getDigest() const;
+  inline bool hasDigest() const;
+  inline  ::capnp::Data::Reader getDigest() const;
 
-    inline bool hasContent() const;
-    inline ::capnp::Data::Reader getContent() const;
+  inline bool hasContent() const;
+  inline  ::capnp::Data::Reader getContent() const;
 
-    inline bool hasSignOffs() const;
-    inline ::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Reader getSignOffs() const;
+  inline bool hasSignOffs() const;
+  inline  ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Reader getSignOffs() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::GetBundleResults::Builder {
 public:
-    typedef GetBundleResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline ::clementinefall::peers::wire::BundleKind getKind();
-    inline void setKind(::clementinefall::peers::wire::BundleKind value);
-
-    inline ::uint64_t getVersion();
-    inline void setVersion(::uint64_t value);
-
-    inline bool hasDigest();
-    inline ::capnp::Data::Builder getDigest();
-    inline void setDigest(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initDigest(unsigned int size);
-    inline void adoptDigest(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownDigest();
-
-    inline bool hasContent();
-    inline ::capnp::Data::Builder getContent();
-    inline void setContent(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initContent(unsigned int size);
-    inline void adoptContent(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownContent();
-
-    inline bool hasSignOffs();
-    inline ::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Builder getSignOffs();
-    inline void setSignOffs(::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Builder initSignOffs(
-        unsigned int size);
-    inline void adoptSignOffs(
-        ::capnp::Orphan<::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>>&& value);
-    inline ::capnp::Orphan<::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>>
-    disownSignOffs();
+  typedef GetBundleResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::clementinefall::peers::wire::BundleKind getKind();
+  inline void setKind( ::clementinefall::peers::wire::BundleKind value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDigest();
+  inline  ::capnp::Data::Builder getDigest();
+  inline void setDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
+
+  inline bool hasContent();
+  inline  ::capnp::Data::Builder getContent();
+  inline void setContent( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initContent(unsigned int size);
+  inline void adoptContent(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownContent();
+
+  inline bool hasSignOffs();
+  inline  ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Builder getSignOffs();
+  inline void setSignOffs( ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Builder initSignOffs(unsigned int size);
+  inline void adoptSignOffs(::capnp::Orphan< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>> disownSignOffs();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::GetBundleResults::Pipeline {
 public:
-    typedef GetBundleResults Pipelines;
+  typedef GetBundleResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::AnnounceParams::Reader {
 public:
-    typedef AnnounceParams Reads;
+  typedef AnnounceParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
-    inline bool hasDigest() const;
-    inline ::capnp::Data::Reader getDigest() const;
+  inline bool hasDigest() const;
+  inline  ::capnp::Data::Reader getDigest() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::AnnounceParams::Builder {
 public:
-    typedef AnnounceParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AnnounceParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getVersion();
-    inline void setVersion(::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-    inline bool hasDigest();
-    inline ::capnp::Data::Builder getDigest();
-    inline void setDigest(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initDigest(unsigned int size);
-    inline void adoptDigest(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownDigest();
+  inline bool hasDigest();
+  inline  ::capnp::Data::Builder getDigest();
+  inline void setDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::AnnounceParams::Pipeline {
 public:
-    typedef AnnounceParams Pipelines;
+  typedef AnnounceParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::AnnounceResults::Reader {
 public:
-    typedef AnnounceResults Reads;
+  typedef AnnounceResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::AnnounceResults::Builder {
 public:
-    typedef AnnounceResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef AnnounceResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::AnnounceResults::Pipeline {
 public:
-    typedef AnnounceResults Pipelines;
+  typedef AnnounceResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::ReportCrashParams::Reader {
 public:
-    typedef ReportCrashParams Reads;
+  typedef ReportCrashParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasService() const;
-    inline ::capnp::Text::Reader getService() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-    inline bool hasServer() const;
-    inline ::capnp::Text::Reader getServer() const;
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
-    inline bool hasFingerprint() const;
-    inline ::capnp::Data::Reader getFingerprint() const;
+  inline bool hasFingerprint() const;
+  inline  ::capnp::Data::Reader getFingerprint() const;
 
-    inline double getWeight() const;
+  inline double getWeight() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::ReportCrashParams::Builder {
 public:
-    typedef ReportCrashParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
-
-    inline bool hasService();
-    inline ::capnp::Text::Builder getService();
-    inline void setService(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initService(unsigned int size);
-    inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownService();
-
-    inline bool hasServer();
-    inline ::capnp::Text::Builder getServer();
-    inline void setServer(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initServer(unsigned int size);
-    inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownServer();
-
-    inline bool hasFingerprint();
-    inline ::capnp::Data::Builder getFingerprint();
-    inline void setFingerprint(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initFingerprint(unsigned int size);
-    inline void adoptFingerprint(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownFingerprint();
-
-    inline double getWeight();
-    inline void setWeight(double value);
+  typedef ReportCrashParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline bool hasFingerprint();
+  inline  ::capnp::Data::Builder getFingerprint();
+  inline void setFingerprint( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initFingerprint(unsigned int size);
+  inline void adoptFingerprint(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownFingerprint();
+
+  inline double getWeight();
+  inline void setWeight(double value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::ReportCrashParams::Pipeline {
 public:
-    typedef ReportCrashParams Pipelines;
+  typedef ReportCrashParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::ReportCrashResults::Reader {
 public:
-    typedef ReportCrashResults Reads;
+  typedef ReportCrashResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::ReportCrashResults::Builder {
 public:
-    typedef ReportCrashResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ReportCrashResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::ReportCrashResults::Pipeline {
 public:
-    typedef ReportCrashResults Pipelines;
+  typedef ReportCrashResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::StatusParams::Reader {
 public:
-    typedef StatusParams Reads;
+  typedef StatusParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasContent() const;
-    inline ::capnp::Data::Reader getContent() const;
+  inline bool hasContent() const;
+  inline  ::capnp::Data::Reader getContent() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::StatusParams::Builder {
 public:
-    typedef StatusParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef StatusParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasContent();
-    inline ::capnp::Data::Builder getContent();
-    inline void setContent(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initContent(unsigned int size);
-    inline void adoptContent(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownContent();
+  inline bool hasContent();
+  inline  ::capnp::Data::Builder getContent();
+  inline void setContent( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initContent(unsigned int size);
+  inline void adoptContent(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownContent();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::StatusParams::Pipeline {
 public:
-    typedef StatusParams Pipelines;
+  typedef StatusParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Peer::StatusResults::Reader {
 public:
-    typedef StatusResults Reads;
+  typedef StatusResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return ::capnp::_::structString(_reader, *_capnpPrivate::brand()); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasContent() const;
-    inline ::capnp::Data::Reader getContent() const;
+  inline bool hasContent() const;
+  inline  ::capnp::Data::Reader getContent() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind> friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class Peer::StatusResults::Builder {
 public:
-    typedef StatusResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef StatusResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool hasContent();
-    inline ::capnp::Data::Builder getContent();
-    inline void setContent(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initContent(unsigned int size);
-    inline void adoptContent(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownContent();
+  inline bool hasContent();
+  inline  ::capnp::Data::Builder getContent();
+  inline void setContent( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initContent(unsigned int size);
+  inline void adoptContent(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownContent();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class Peer::StatusResults::Pipeline {
 public:
-    typedef StatusResults Pipelines;
+  typedef StatusResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr)
-{
-}
-inline Gate::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook))
-{
-}
+    : ::capnp::Capability::Client(nullptr) {}
+inline Gate::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Gate::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server))
-{
-}
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
 template <typename _t, typename>
 inline Gate::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise))
-{
-}
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Gate::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception))
-{
-}
-inline ::clementinefall::peers::wire::Gate::Client& Gate::Client::operator=(Client& other)
-{
-    ::capnp::Capability::Client::operator=(other);
-    return *this;
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::clementinefall::peers::wire::Gate::Client& Gate::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline ::clementinefall::peers::wire::Gate::Client& Gate::Client::operator=(Client&& other)
-{
-    ::capnp::Capability::Client::operator=(kj::mv(other));
-    return *this;
+inline  ::clementinefall::peers::wire::Gate::Client& Gate::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-#endif // !CAPNP_LITE
-inline ::uint16_t Gate::HelloParams::Reader::getMinimumVersion() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#endif  // !CAPNP_LITE
+inline  ::uint16_t Gate::HelloParams::Reader::getMinimumVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Gate::HelloParams::Builder::getMinimumVersion()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::HelloParams::Builder::getMinimumVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Gate::HelloParams::Builder::setMinimumVersion(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Gate::HelloParams::Builder::setMinimumVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Gate::HelloParams::Reader::getMaximumVersion() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::HelloParams::Reader::getMaximumVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Gate::HelloParams::Builder::getMaximumVersion()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::HelloParams::Builder::getMaximumVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Gate::HelloParams::Builder::setMaximumVersion(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Gate::HelloParams::Builder::setMaximumVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Gate::HelloParams::Reader::hasNonce() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloParams::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gate::HelloParams::Builder::hasNonce()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloParams::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Gate::HelloParams::Reader::getNonce() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Gate::HelloParams::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Gate::HelloParams::Builder::getNonce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Gate::HelloParams::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gate::HelloParams::Builder::setNonce(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Gate::HelloParams::Builder::setNonce( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Gate::HelloParams::Builder::initNonce(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Gate::HelloParams::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Gate::HelloParams::Builder::adoptNonce(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Gate::HelloParams::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Gate::HelloParams::Builder::disownNonce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Gate::HelloParams::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Gate::HelloParams::Reader::hasName() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloParams::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gate::HelloParams::Builder::hasName()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloParams::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Gate::HelloParams::Reader::getName() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Gate::HelloParams::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Gate::HelloParams::Builder::getName()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Gate::HelloParams::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Gate::HelloParams::Builder::setName(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Gate::HelloParams::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Gate::HelloParams::Builder::initName(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Gate::HelloParams::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Gate::HelloParams::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Gate::HelloParams::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Gate::HelloParams::Builder::disownName()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Gate::HelloParams::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Gate::HelloParams::Reader::getIncarnation() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Gate::HelloParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Gate::HelloParams::Builder::getIncarnation()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Gate::HelloParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Gate::HelloParams::Builder::setIncarnation(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Gate::HelloParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Gate::HelloResults::Reader::getCode() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::HelloResults::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Gate::HelloResults::Builder::getCode()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::HelloResults::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Gate::HelloResults::Builder::setCode(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Gate::HelloResults::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Gate::HelloResults::Reader::getVersion() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::HelloResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Gate::HelloResults::Builder::getVersion()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::HelloResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Gate::HelloResults::Builder::setVersion(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Gate::HelloResults::Builder::setVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Gate::HelloResults::Reader::hasNonce() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloResults::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gate::HelloResults::Builder::hasNonce()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloResults::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Gate::HelloResults::Reader::getNonce() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Gate::HelloResults::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Gate::HelloResults::Builder::getNonce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gate::HelloResults::Builder::setNonce(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Gate::HelloResults::Builder::setNonce( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Gate::HelloResults::Builder::initNonce(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Gate::HelloResults::Builder::adoptNonce(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Gate::HelloResults::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Gate::HelloResults::Builder::disownNonce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Gate::HelloResults::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Gate::HelloResults::Reader::hasProof() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloResults::Reader::hasProof() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gate::HelloResults::Builder::hasProof()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Gate::HelloResults::Builder::hasProof() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Gate::HelloResults::Reader::getProof() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Gate::HelloResults::Reader::getProof() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Gate::HelloResults::Builder::getProof()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::getProof() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Gate::HelloResults::Builder::setProof(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Gate::HelloResults::Builder::setProof( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Gate::HelloResults::Builder::initProof(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Gate::HelloResults::Builder::initProof(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Gate::HelloResults::Builder::adoptProof(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Gate::HelloResults::Builder::adoptProof(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Gate::HelloResults::Builder::disownProof()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Gate::HelloResults::Builder::disownProof() {
