+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Gate::AuthenticateParams::Reader::hasProof() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::AuthenticateParams::Reader::hasProof() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gate::AuthenticateParams::Builder::hasProof()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::AuthenticateParams::Builder::hasProof() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Gate::AuthenticateParams::Reader::getProof() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Gate::AuthenticateParams::Reader::getProof() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Gate::AuthenticateParams::Builder::getProof()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Gate::AuthenticateParams::Builder::getProof() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gate::AuthenticateParams::Builder::setProof(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Gate::AuthenticateParams::Builder::setProof( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Gate::AuthenticateParams::Builder::initProof(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Gate::AuthenticateParams::Builder::initProof(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Gate::AuthenticateParams::Builder::adoptProof(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Gate::AuthenticateParams::Builder::adoptProof(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Gate::AuthenticateParams::Builder::disownProof()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Gate::AuthenticateParams::Builder::disownProof() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t Gate::AuthenticateResults::Reader::getCode() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::AuthenticateResults::Reader::getCode() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Gate::AuthenticateResults::Builder::getCode()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Gate::AuthenticateResults::Builder::getCode() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Gate::AuthenticateResults::Builder::setCode(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Gate::AuthenticateResults::Builder::setCode( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Gate::AuthenticateResults::Reader::hasPeer() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::AuthenticateResults::Reader::hasPeer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gate::AuthenticateResults::Builder::hasPeer()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gate::AuthenticateResults::Builder::hasPeer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::clementinefall::peers::wire::Peer::Client Gate::AuthenticateResults::Reader::getPeer() const
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::peers::wire::Peer>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::clementinefall::peers::wire::Peer::Client Gate::AuthenticateResults::Builder::getPeer()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::peers::wire::Peer>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::clementinefall::peers::wire::Peer::Client Gate::AuthenticateResults::Pipeline::getPeer()
-{
-    return ::clementinefall::peers::wire::Peer::Client(_typeless.getPointerField(0).asCap());
-}
-inline void Gate::AuthenticateResults::Builder::setPeer(::clementinefall::peers::wire::Peer::Client&& cap)
-{
-    ::capnp::_::PointerHelpers<::clementinefall::peers::wire::Peer>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void Gate::AuthenticateResults::Builder::setPeer(::clementinefall::peers::wire::Peer::Client& cap)
-{
-    ::capnp::_::PointerHelpers<::clementinefall::peers::wire::Peer>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), cap);
-}
-inline void Gate::AuthenticateResults::Builder::adoptPeer(::capnp::Orphan<::clementinefall::peers::wire::Peer>&& value)
-{
-    ::capnp::_::PointerHelpers<::clementinefall::peers::wire::Peer>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::clementinefall::peers::wire::Peer> Gate::AuthenticateResults::Builder::disownPeer()
-{
-    return ::capnp::_::PointerHelpers<::clementinefall::peers::wire::Peer>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#endif // !CAPNP_LITE
-
-inline bool SignOff::Reader::hasSigner() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SignOff::Builder::hasSigner()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader SignOff::Reader::getSigner() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder SignOff::Builder::getSigner()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SignOff::Builder::setSigner(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder SignOff::Builder::initSigner(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void SignOff::Builder::adoptSigner(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> SignOff::Builder::disownSigner()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool SignOff::Reader::hasSignature() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool SignOff::Builder::hasSignature()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Data::Reader SignOff::Reader::getSignature() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder SignOff::Builder::getSignature()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void SignOff::Builder::setSignature(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder SignOff::Builder::initSignature(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void SignOff::Builder::adoptSignature(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> SignOff::Builder::disownSignature()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::clementinefall::peers::wire::Peer::Client Gate::AuthenticateResults::Reader::getPeer() const {
+  return ::capnp::_::PointerHelpers< ::clementinefall::peers::wire::Peer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::clementinefall::peers::wire::Peer::Client Gate::AuthenticateResults::Builder::getPeer() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::peers::wire::Peer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::clementinefall::peers::wire::Peer::Client Gate::AuthenticateResults::Pipeline::getPeer() {
+  return  ::clementinefall::peers::wire::Peer::Client(_typeless.getPointerField(0).asCap());
+}
+inline void Gate::AuthenticateResults::Builder::setPeer( ::clementinefall::peers::wire::Peer::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::clementinefall::peers::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Gate::AuthenticateResults::Builder::setPeer( ::clementinefall::peers::wire::Peer::Client& cap) {
+  ::capnp::_::PointerHelpers< ::clementinefall::peers::wire::Peer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
 }
+inline void Gate::AuthenticateResults::Builder::adoptPeer(
+    ::capnp::Orphan< ::clementinefall::peers::wire::Peer>&& value) {
+  ::capnp::_::PointerHelpers< ::clementinefall::peers::wire::Peer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::clementinefall::peers::wire::Peer> Gate::AuthenticateResults::Builder::disownPeer() {
+  return ::capnp::_::PointerHelpers< ::clementinefall::peers::wire::Peer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr)
-{
+inline bool SignOff::Reader::hasSigner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SignOff::Builder::hasSigner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SignOff::Reader::getSigner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SignOff::Builder::getSigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SignOff::Builder::setSigner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SignOff::Builder::initSigner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SignOff::Builder::adoptSigner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline Peer::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook))
-{
+inline ::capnp::Orphan< ::capnp::Text> SignOff::Builder::disownSigner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
+
+inline bool SignOff::Reader::hasSignature() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SignOff::Builder::hasSignature() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader SignOff::Reader::getSignature() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder SignOff::Builder::getSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SignOff::Builder::setSignature( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder SignOff::Builder::initSignature(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SignOff::Builder::adoptSignature(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> SignOff::Builder::disownSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline Peer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Peer::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server))
-{
-}
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
 template <typename _t, typename>
 inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise))
-{
-}
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Peer::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception))
-{
-}
-inline ::clementinefall::peers::wire::Peer::Client& Peer::Client::operator=(Client& other)
-{
-    ::capnp::Capability::Client::operator=(other);
-    return *this;
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::clementinefall::peers::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline ::clementinefall::peers::wire::Peer::Client& Peer::Client::operator=(Client&& other)
-{
-    ::capnp::Capability::Client::operator=(kj::mv(other));
-    return *this;
+inline  ::clementinefall::peers::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-#endif // !CAPNP_LITE
-inline ::uint64_t Peer::GetBundleParams::Reader::getHaveVersion() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#endif  // !CAPNP_LITE
+inline  ::uint64_t Peer::GetBundleParams::Reader::getHaveVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Peer::GetBundleParams::Builder::getHaveVersion()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Peer::GetBundleParams::Builder::getHaveVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::GetBundleParams::Builder::setHaveVersion(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::GetBundleParams::Builder::setHaveVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::GetBundleParams::Reader::hasHaveDigest() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::GetBundleParams::Reader::hasHaveDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GetBundleParams::Builder::hasHaveDigest()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::GetBundleParams::Builder::hasHaveDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Peer::GetBundleParams::Reader::getHaveDigest() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Peer::GetBundleParams::Reader::getHaveDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::GetBundleParams::Builder::getHaveDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Peer::GetBundleParams::Builder::getHaveDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::GetBundleParams::Builder::setHaveDigest(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::GetBundleParams::Builder::setHaveDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Peer::GetBundleParams::Builder::initHaveDigest(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Peer::GetBundleParams::Builder::initHaveDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::GetBundleParams::Builder::adoptHaveDigest(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::GetBundleParams::Builder::adoptHaveDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Peer::GetBundleParams::Builder::disownHaveDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Peer::GetBundleParams::Builder::disownHaveDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::clementinefall::peers::wire::BundleKind Peer::GetBundleResults::Reader::getKind() const
-{
-    return _reader.getDataField<::clementinefall::peers::wire::BundleKind>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::clementinefall::peers::wire::BundleKind Peer::GetBundleResults::Reader::getKind() const {
+  return _reader.getDataField< ::clementinefall::peers::wire::BundleKind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::clementinefall::peers::wire::BundleKind Peer::GetBundleResults::Builder::getKind()
-{
-    return _builder.getDataField<::clementinefall::peers::wire::BundleKind>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::clementinefall::peers::wire::BundleKind Peer::GetBundleResults::Builder::getKind() {
+  return _builder.getDataField< ::clementinefall::peers::wire::BundleKind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::GetBundleResults::Builder::setKind(::clementinefall::peers::wire::BundleKind value)
-{
-    _builder.setDataField<::clementinefall::peers::wire::BundleKind>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::GetBundleResults::Builder::setKind( ::clementinefall::peers::wire::BundleKind value) {
+  _builder.setDataField< ::clementinefall::peers::wire::BundleKind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Peer::GetBundleResults::Reader::getVersion() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Peer::GetBundleResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Peer::GetBundleResults::Builder::getVersion()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Peer::GetBundleResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Peer::GetBundleResults::Builder::setVersion(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Peer::GetBundleResults::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::GetBundleResults::Reader::hasDigest() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::GetBundleResults::Reader::hasDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GetBundleResults::Builder::hasDigest()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::GetBundleResults::Builder::hasDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Peer::GetBundleResults::Reader::getDigest() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Peer::GetBundleResults::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::GetBundleResults::Builder::getDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Peer::GetBundleResults::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::GetBundleResults::Builder::setDigest(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::GetBundleResults::Builder::setDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Peer::GetBundleResults::Builder::initDigest(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Peer::GetBundleResults::Builder::initDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::GetBundleResults::Builder::adoptDigest(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::GetBundleResults::Builder::adoptDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Peer::GetBundleResults::Builder::disownDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::GetBundleResults::Reader::hasContent() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::GetBundleResults::Builder::hasContent()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Data::Reader Peer::GetBundleResults::Reader::getContent() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Peer::GetBundleResults::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::GetBundleResults::Builder::getContent()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool Peer::GetBundleResults::Reader::hasContent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GetBundleResults::Builder::hasContent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::GetBundleResults::Reader::getContent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::GetBundleResults::Builder::setContent(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::capnp::Data::Builder Peer::GetBundleResults::Builder::getContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::GetBundleResults::Builder::initContent(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void Peer::GetBundleResults::Builder::setContent( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Peer::GetBundleResults::Builder::adoptContent(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Data::Builder Peer::GetBundleResults::Builder::initContent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan<::capnp::Data> Peer::GetBundleResults::Builder::disownContent()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Peer::GetBundleResults::Builder::adoptContent(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline bool Peer::GetBundleResults::Reader::hasSignOffs() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::GetBundleResults::Builder::hasSignOffs()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Reader
-Peer::GetBundleResults::Reader::getSignOffs() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::peers::wire::SignOff,
-        ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Builder
-Peer::GetBundleResults::Builder::getSignOffs()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::peers::wire::SignOff,
-        ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Peer::GetBundleResults::Builder::setSignOffs(
-    ::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>::Builder
-Peer::GetBundleResults::Builder::initSignOffs(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::peers::wire::SignOff,
-        ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Orphan< ::capnp::Data> Peer::GetBundleResults::Builder::disownContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::GetBundleResults::Reader::hasSignOffs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GetBundleResults::Builder::hasSignOffs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Reader Peer::GetBundleResults::Reader::getSignOffs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Builder Peer::GetBundleResults::Builder::getSignOffs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::GetBundleResults::Builder::setSignOffs( ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>::Builder Peer::GetBundleResults::Builder::initSignOffs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Peer::GetBundleResults::Builder::adoptSignOffs(
-    ::capnp::Orphan<::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>> Peer::GetBundleResults::Builder::disownSignOffs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::clementinefall::peers::wire::SignOff,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::AnnounceParams::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AnnounceParams::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::List<::clementinefall::peers::wire::SignOff, ::capnp::Kind::STRUCT>>
-Peer::GetBundleResults::Builder::disownSignOffs()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::clementinefall::peers::wire::SignOff,
-        ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Peer::AnnounceParams::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Peer::AnnounceParams::Reader::getVersion() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+inline bool Peer::AnnounceParams::Reader::hasDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AnnounceParams::Builder::hasDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::AnnounceParams::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::AnnounceParams::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AnnounceParams::Builder::setDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::AnnounceParams::Builder::initDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AnnounceParams::Builder::adoptDigest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::AnnounceParams::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-inline ::uint64_t Peer::AnnounceParams::Builder::getVersion()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::AnnounceParams::Builder::setVersion(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::AnnounceParams::Reader::hasDigest() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::AnnounceParams::Builder::hasDigest()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Data::Reader Peer::AnnounceParams::Reader::getDigest() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Peer::AnnounceParams::Builder::getDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::AnnounceParams::Builder::setDigest(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Peer::AnnounceParams::Builder::initDigest(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::AnnounceParams::Builder::adoptDigest(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> Peer::AnnounceParams::Builder::disownDigest()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ReportCrashParams::Reader::hasService() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ReportCrashParams::Builder::hasService()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Peer::ReportCrashParams::Reader::getService() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Peer::ReportCrashParams::Builder::getService()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ReportCrashParams::Builder::setService(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Peer::ReportCrashParams::Builder::initService(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::ReportCrashParams::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline bool Peer::ReportCrashParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReportCrashParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan<::capnp::Text> Peer::ReportCrashParams::Builder::disownService()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Peer::ReportCrashParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::ReportCrashParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ReportCrashParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::ReportCrashParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ReportCrashParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::ReportCrashParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ReportCrashParams::Reader::hasServer() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ReportCrashParams::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReportCrashParams::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::ReportCrashParams::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::ReportCrashParams::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::ReportCrashParams::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::ReportCrashParams::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline bool Peer::ReportCrashParams::Builder::hasServer()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Peer::ReportCrashParams::Reader::getServer() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Peer::ReportCrashParams::Builder::getServer()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::ReportCrashParams::Builder::setServer(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Peer::ReportCrashParams::Builder::initServer(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Peer::ReportCrashParams::Builder::adoptServer(::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Peer::ReportCrashParams::Builder::disownServer()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ReportCrashParams::Reader::hasFingerprint() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ReportCrashParams::Builder::hasFingerprint()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Data::Reader Peer::ReportCrashParams::Reader::getFingerprint() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Peer::ReportCrashParams::Builder::getFingerprint()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Peer::ReportCrashParams::Builder::setFingerprint(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Peer::ReportCrashParams::Builder::initFingerprint(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Peer::ReportCrashParams::Builder::adoptFingerprint(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> Peer::ReportCrashParams::Builder::disownFingerprint()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline double Peer::ReportCrashParams::Reader::getWeight() const
-{
-    return _reader.getDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline double Peer::ReportCrashParams::Builder::getWeight()
-{
-    return _builder.getDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::ReportCrashParams::Builder::setWeight(double value)
-{
-    _builder.setDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::ReportCrashParams::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::ReportCrashParams::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::StatusParams::Reader::hasContent() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ReportCrashParams::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReportCrashParams::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::ReportCrashParams::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::ReportCrashParams::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::ReportCrashParams::Builder::setFingerprint( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline bool Peer::StatusParams::Builder::hasContent()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::Data::Builder Peer::ReportCrashParams::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Data::Reader Peer::StatusParams::Reader::getContent() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Peer::StatusParams::Builder::getContent()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::StatusParams::Builder::setContent(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Peer::StatusParams::Builder::initContent(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void Peer::ReportCrashParams::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::StatusParams::Builder::adoptContent(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::Data> Peer::ReportCrashParams::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::capnp::Data> Peer::StatusParams::Builder::disownContent()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline double Peer::ReportCrashParams::Reader::getWeight() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::StatusResults::Reader::hasContent() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline double Peer::ReportCrashParams::Builder::getWeight() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ReportCrashParams::Builder::setWeight(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline bool Peer::StatusResults::Builder::hasContent()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline bool Peer::StatusParams::Reader::hasContent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Peer::StatusResults::Reader::getContent() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Peer::StatusParams::Builder::hasContent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Builder Peer::StatusResults::Builder::getContent()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Peer::StatusParams::Reader::getContent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::StatusResults::Builder::setContent(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::Data::Builder Peer::StatusParams::Builder::getContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Peer::StatusResults::Builder::initContent(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void Peer::StatusParams::Builder::setContent( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::StatusResults::Builder::adoptContent(::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Data::Builder Peer::StatusParams::Builder::initContent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan<::capnp::Data> Peer::StatusResults::Builder::disownContent()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::StatusParams::Builder::adoptContent(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::StatusParams::Builder::disownContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-} // namespace wire
-} // namespace peers
-} // namespace clementinefall
+inline bool Peer::StatusResults::Reader::hasContent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::StatusResults::Builder::hasContent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Peer::StatusResults::Reader::getContent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Peer::StatusResults::Builder::getContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::StatusResults::Builder::setContent( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Peer::StatusResults::Builder::initContent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::StatusResults::Builder::adoptContent(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::StatusResults::Builder::disownContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+}  // namespace
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- /dev/null
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -0,0 +1,147 @@
+#include "platform/kindwatcher.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace clementinefall;
+using namespace clementinefall::platform;
+
+namespace {
+
+/// A source that answers by a script; once the script is over, watches wait for ever.
+class ScriptedSource : public ObjectSource {
+public:
+    explicit ScriptedSource(asio::io_context& sourceContext)
+        : context(sourceContext)
+        , never(sourceContext, TimePoint::max())
+    {
+    }
+
+    Awaitable<Result<ObjectSet>> list(std::string) override
+    {
+        ++this->listCalls;
+        if (this->lists.empty()) {
+            co_await this->never.async_wait(useTuple);
+            co_return makeError(ResultCode::PlatformUnreachable, "over");
+        }
+        const Result<ObjectSet> result = this->lists.front();
+        this->lists.pop_front();
+        co_return result;
+    }
+
+    Awaitable<Result<ChangeSet>> changes(std::string, std::uint64_t revision, milliseconds wait) override
+    {
+        this->revisions.push_back(revision);
+        if (this->watches.empty()) {
+            co_await this->never.async_wait(useTuple);
+            co_return makeError(ResultCode::PlatformUnreachable, "over");
+        }
+        if (this->answersLate) {
+            asio::steady_timer timer(this->context, wait + milliseconds(30));
+            co_await timer.async_wait(useTuple);
+            this->answersLate = false;
+        }
+        const Result<ChangeSet> result = this->watches.front();
+        this->watches.pop_front();
+        co_return result;
+    }
+
+    asio::io_context& context;
+    asio::steady_timer never;
+    std::deque<Result<ObjectSet>> lists;
+    std::deque<Result<ChangeSet>> watches;
+    std::vector<std::uint64_t> revisions;
+    unsigned listCalls = 0;
+    bool answersLate = false;
+};
+
+ObjectSet setOf(std::uint64_t revision) { return { .revision = revision, .objects = {} }; }
+
+ChangeSet removalOf(const std::string& name, std::uint64_t revision)
+{
+    return { .revision = revision,
+        .changes = { { .object = { .name = name, .revision = revision, .content = {} }, .isRemoved = true } } };
+}
+
+} // namespace
+
+TEST_CASE("Keeping up with one kind of objects")
+{
+    asio::io_context context { 1 };
+    const auto source = std::make_shared<ScriptedSource>(context);
+    WatchTiming timing;
+    timing.pace = milliseconds(1);
+    timing.longestBackoff = milliseconds(1);
+    timing.wait = milliseconds(10);
+    timing.answerAllowance = milliseconds(20);
+    const auto watcher = std::make_shared<KindWatcher>(context.get_executor(), source, "servers", timing);
+    std::vector<bool> listsAfterOutage;
+    std::vector<std::string> removed;
+    watcher->onList = [&](const ObjectSet&, bool afterOutage) { listsAfterOutage.push_back(afterOutage); };
+    watcher->onChanges = [&](const ChangeSet& changes) {
+        for (const ObjectChange& change : changes.changes)
+            removed.push_back(change.object.name);
+    };
+    const auto play = [&] {
+        watcher->start();
+        const TimePoint limit = Clock::now() + seconds(5);
+        while (Clock::now() < limit && !(source->watches.empty() && source->lists.empty()))
+            context.run_one_for(milliseconds(20));
+        context.run_for(milliseconds(5));
+        watcher->stop();
+        source->never.cancel();
+        context.run_for(milliseconds(20));
+    };
+
+    SECTION("changes are taken from where the list ended")
+    {
+        source->lists = { setOf(7) };
+        source->watches = { removalOf("a", 9), ChangeSet { .revision = 12, .changes = {} } };
+        play();
+        CHECK(listsAfterOutage == std::vector<bool> { false });
+        CHECK(removed == std::vector<std::string> { "a" });
+        REQUIRE(source->revisions.size() >= 3);
+        CHECK(source->revisions[0] == 7);
+        CHECK(source->revisions[1] == 9);
+        CHECK(source->revisions[2] == 12);
+    }
+
+    SECTION("lost history leads to a new list, which is no outage")
+    {
+        source->lists = { setOf(7), setOf(20) };
+        source->watches = { makeError(ResultCode::PlatformHistoryLost, "410") };
+        play();
+        CHECK(listsAfterOutage == std::vector<bool> { false, false });
+        CHECK(source->revisions.back() == 20);
+    }
+
+    SECTION("after failed calls the list is marked, so that lapsed entries can come back")
+    {
+        source->lists = { setOf(7), makeError(ResultCode::PlatformUnreachable, "503"), setOf(20) };
+        source->watches = { makeError(ResultCode::PlatformTimeout, "silence") };
+        play();
+        CHECK(listsAfterOutage == std::vector<bool> { false, true });
+    }
+
+    SECTION("removals in an answer that the store held back while it was away are not believed")
+    {
+        source->lists = { setOf(7), setOf(20) };
+        source->watches = { removalOf("a", 9) };
+        source->answersLate = true;
+        play();
+        CHECK(removed.empty());
+        CHECK(listsAfterOutage == std::vector<bool> { false, true });
+    }
+
+    SECTION("a store that is away from the start is asked until it answers")
+    {
+        source->lists = { makeError(ResultCode::PlatformUnreachable, "refused"),
+            makeError(ResultCode::PlatformUnreachable, "refused"), setOf(3) };
+        play();
+        CHECK(source->listCalls >= 3);
+        CHECK(listsAfterOutage == std::vector<bool> { false });
+    }
+}
