Refuse a request that has waited for room for a third of its time

Cause: the log showed requests that were held for 4.3 of 6 s and then refused without having been sent. A caller that is refused so late can hardly be served elsewhere.

Change: a request waits for its route's target latency, or a third of its time if that is longer.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -37,6 +37,10 @@
 /// A waiting request looks for room at least this often.
 constexpr milliseconds waitingInterval { 60 };
 
+/// A request waits for room for its route's target latency, or for this part of its time if that is longer. A caller
+/// that is refused later than that can hardly be served elsewhere.
+constexpr int longestWaitDivisor = 3;
+
 /// An address that belongs to another server is not tried again before the store has had time to say so.
 constexpr seconds misdirectedPause { 2 };
 
@@ -302,7 +306,10 @@
     const auto queueTime = slots <= 0 ? Duration::max()
                                       : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(work)
                                           * (static_cast<double>(room.ahead(rank)) + 1) * sharing / slots);
-    const TimePoint until = job.deadline - work - answerMargin;
+    const TimePoint received = job.request->receivedAt;
+    const Duration patience
+        = std::max<Duration>(job.route->targetLatency, (job.deadline - received) / longestWaitDivisor);
+    const TimePoint until = std::min(job.deadline - work - answerMargin, received + patience);
     if (slots <= 0 || now + queueTime >= until)
         co_return false;
     const auto self = this->shared_from_this();
