--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -198,7 +198,7 @@
     const double allowance = this->settings.retryAllowance * usedBudgetPart
         / static_cast<double>(std::max<std::size_t>(1, this->instanceCount));
     const requests::RetryBudgetLimits limits {
-        .firstAttemptsPerExtra = ratio > 0 ? static_cast<unsigned>(1.0 / ratio + 0.5) : 0,
+        .firstAttemptsPerExtra = ratio > 0 ? static_cast<unsigned>(std::lround(1.0 / ratio)) : 0,
         .allowance = static_cast<unsigned>(allowance),
     };
     return this->budgets.emplace(service, requests::RetryBudget(limits)).first->second;
@@ -301,7 +301,7 @@
             slots += server->entry.slots;
     }
     // The neighbours' waiting requests compete for the same slots.
-    const double sharing = std::max<std::size_t>(1, this->zoneInstanceCount);
+    const auto sharing = static_cast<double>(std::max<std::size_t>(1, this->zoneInstanceCount));
     const Duration work = job.state->work.recent;
     const auto queueTime = slots <= 0 ? Duration::max()
                                       : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(work)
@@ -590,7 +590,7 @@
     return std::clamp<Duration>(std::chrono::duration_cast<Duration>(work), shortestRefusalPause, longestRefusalPause);
 }
 
-Forwarder::Outcome Forwarder::refuse(Job& job, Error error, Duration retryAfter)
+Forwarder::Outcome Forwarder::refuse(Job& job, const Error& error, Duration retryAfter)
 {
     Outcome outcome;
     outcome.answer = answerForError(error, job.request->id, this->settings.names, retryAfter);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -120,7 +120,7 @@
     void logRoutes(TimePoint now);
     Duration retryAfterFor(const Job& job);
     Outcome finish(Job& job, Outcome outcome);
-    Outcome refuse(Job& job, Error error, Duration retryAfter);
+    Outcome refuse(Job& job, const Error& error, Duration retryAfter);
     requests::RetryBudget& budgetOf(const std::string& service);
 
     asio::any_io_executor executor;
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -544,6 +544,7 @@
     {
         fixture.first.script = [](const std::string&) { return Reply { .bytes = "", .isHeld = true }; };
         std::vector<std::shared_ptr<tcp::socket>> callers;
+        callers.reserve(20);
         for (int i = 0; i < 20; ++i)
             callers.push_back(fixture.open(requestBytes("r" + std::to_string(i), "/once/1", "POST")));
         fixture.runUntil([&] { return fixture.sessions->inProgress == 20 && fixture.first.requests.size() >= 4; });
--- a/src/libs/forwarding/tst_placement.cpp
+++ b/src/libs/forwarding/tst_placement.cpp
@@ -33,6 +33,7 @@
 Placement choose(const std::vector<BackendServer>& servers, const PlacementRequest& request)
 {
     std::vector<const BackendServer*> views;
+    views.reserve(servers.size());
     for (const BackendServer& server : servers)
         views.push_back(&server);
     const std::vector<char> cold(servers.size(), 1);
@@ -154,6 +155,7 @@
 TEST_CASE("Senders to a cold server")
 {
     std::vector<std::string> instances;
+    instances.reserve(100);
     for (int i = 0; i < 100; ++i)
         instances.push_back("entry-" + std::to_string(i));
 
