Reach the store soon after a cut, so that leaving servers are known in time

An attempt to connect that began just before the cut healed took a second, the pause after it up to another, and missing entries have two seconds to return; the instance counted as in touch 4 s after the cut. Ruled out: entries that were inserted again (logged, none), pooled connections.

Also: unused members are gone, and refusals use the advice that the placement gives.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -44,11 +44,8 @@
 /// An address that belongs to another server is not tried again before the store has had time to say so.
 constexpr seconds misdirectedPause { 2 };
 
-/// Range of the advice to come back to a caller that was refused: about one working time, and short enough to be
-/// honoured within usual deadlines.
-constexpr milliseconds shortestRefusalPause { 80 };
-constexpr milliseconds longestRefusalPause { 800 };
-constexpr seconds longestHoldRetryAfter { 5 };
+/// Advice to come back for requests that are held back because they crash servers.
+constexpr seconds heldBackRetryAfter { 5 };
 
 /// What a neighbour said of its requests is forgotten after four beats without a new one.
 constexpr milliseconds neighbourLifetime { 1000 };
@@ -127,6 +124,8 @@
     bool mayHaveRun = false;
     std::vector<ServerPointer> tried;
     std::vector<ServerPointer> servers; ///< List that the last placement chose from.
+    Duration retryAfter
+        = milliseconds(250); ///< Advice of the last placement that found no server; about one working time.
     std::string trail; ///< `server:end` of each attempt, for the log.
 };
 
@@ -378,7 +377,7 @@
         job.service, job.request->method, job.request->host + job.request->target, bodyHash.digest());
     if (this->heldBack.isQuarantined(job.fingerprint, Clock::now())) {
         co_return this->refuse(
-            job, makeError(ResultCode::NotRunHeldBack, "copies of it crashed backend servers"), longestHoldRetryAfter);
+            job, makeError(ResultCode::NotRunHeldBack, "copies of it crashed backend servers"), heldBackRetryAfter);
     }
     this->budgetOf(job.service).noteFirstAttempt(Clock::now());
 
@@ -398,6 +397,7 @@
         }
         const Placement placement = this->place(job, now);
         if (!placement.server) {
+            job.retryAfter = placement.retryAfter;
             if (job.mayHaveRun || failed)
                 break;
             if (job.arrivals == 0 && !this->refusesWaiting && co_await this->waitForRoom(job))
@@ -449,7 +449,7 @@
         co_return this->finish(job, Outcome { .answer = failed->answer });
     if (job.mayHaveRun && outcomeOf(last.code) == clementinefall::Outcome::NotRun)
         last = makeError(ResultCode::UnknownConnectionLost, "an earlier attempt may have run; then {}", last.message);
-    co_return this->refuse(job, last, this->retryAfterFor(job));
+    co_return this->refuse(job, last, this->spread(job.retryAfter));
 }
 
 bool Forwarder::shouldRetry(const Job& job, const ServerAnswer& answer, TimePoint now)
@@ -582,12 +582,11 @@
 
 std::vector<requests::CrashMark> Forwarder::takeCrashMarks() { return std::exchange(this->freshMarks, {}); }
 
-Duration Forwarder::retryAfterFor(const Job& job)
+Duration Forwarder::spread(Duration pause)
 {
-    // Spread, so that those who are refused together do not return together.
+    // Those who are refused together must not return together.
     const double factor = 0.5 + randomUnit(this->random);
-    const auto work = std::chrono::duration<double>(job.state->work.recent) * factor;
-    return std::clamp<Duration>(std::chrono::duration_cast<Duration>(work), shortestRefusalPause, longestRefusalPause);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause) * factor);
 }
 
 Forwarder::Outcome Forwarder::refuse(Job& job, const Error& error, Duration retryAfter)
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -25,7 +25,6 @@
     PlacementLimits placement;
     double retryRatio = 0.2; ///< Repeats that the whole fleet may send to a service, by its requests.
     double retryAllowance = 0; ///< Repeats beyond that ratio in a window, for the whole fleet.
-    Duration retryWindow = seconds(10);
 };
 
 /// A request on its way, as its caller's connection sees it.
@@ -118,7 +117,7 @@
     bool shouldRetry(const Job& job, const ServerAnswer& answer, TimePoint now);
     void updateSpills(TimePoint now);
     void logRoutes(TimePoint now);
-    Duration retryAfterFor(const Job& job);
+    Duration spread(Duration pause);
     Outcome finish(Job& job, Outcome outcome);
     Outcome refuse(Job& job, const Error& error, Duration retryAfter);
     requests::RetryBudget& budgetOf(const std::string& service);
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -35,7 +35,7 @@
 /// Shortest and longest advice to come back. Below, callers would return before anything has changed; above, they
 /// would not honour it within their deadlines.
 constexpr milliseconds shortestRetryAfter { 100 };
-constexpr milliseconds longestRetryAfter { 1000 };
+constexpr milliseconds longestRetryAfter { 800 };
 
 Duration scaled(Duration duration, double factor)
 {
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -82,7 +82,6 @@
     beast::error_code error;
     bool isForeign = false;
     bool isInvalid = false;
-    bool isBodyDropped = false;
     bool hasBegun = false; ///< Some of the answer to this request has arrived.
 };
 
@@ -160,7 +159,6 @@
     const WireNames& names, TimePoint deadline, AnswerSink& sink)
 {
     const auto self = this->shared_from_this();
-    ++this->exchanges;
     this->reusable = false;
     this->written = false;
     this->arm(deadline);
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -59,7 +59,6 @@
     bool hasPendingInput();
     /// Whether an idle connection is old enough that the server may close it at any moment.
     bool isExpired(TimePoint now) const { return now - this->lastUse >= this->idleLimit; }
-    bool wasUsedBefore() const { return this->exchanges > 0; }
 
 private:
     struct Reading;
@@ -76,7 +75,6 @@
     beast::flat_buffer buffer;
     TimePoint lastUse {};
     Duration idleLimit;
-    unsigned exchanges = 0;
     bool reusable = false;
     bool timedOut = false;
     bool cancelled = false;
--- a/src/libs/forwarding/testwire.h
+++ b/src/libs/forwarding/testwire.h
@@ -13,7 +13,6 @@
         .seal = "X-Seal",
         .notRun = "X-Not-Run",
         .serverLoad = "X-Load",
-        .coldLeft = "X-Cold",
         .affinityCookie = "object" };
 }
 
--- a/src/libs/forwarding/waitingroom.h
+++ b/src/libs/forwarding/waitingroom.h
@@ -13,8 +13,8 @@
 
 namespace clementinefall::forwarding {
 
-/// Order in which waiting requests get room: the more urgent route first, then requests that can still be in time, and
-/// among them the one with the earliest target.
+/// Order in which waiting requests get room: those that can still be in time first, among them the more urgent route,
+/// and then the earliest target.
 struct WaitingRank {
     unsigned priority = 0;
     bool isLate = false;
--- a/src/libs/forwarding/wirenames.h
+++ b/src/libs/forwarding/wirenames.h
@@ -13,7 +13,6 @@
     std::string seal; ///< Proof that an answer comes from a backend server.
     std::string notRun; ///< Set when a backend server did not run the request.
     std::string serverLoad; ///< `running,waiting,slots` of a backend server.
-    std::string coldLeft; ///< Time that a backend server stays cold, in seconds.
     std::string affinityCookie; ///< Cookie that names the object of a request.
 };
 
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -54,7 +54,7 @@
     milliseconds wait { 4000 }; ///< Length of one waiting call; a connection that went silent costs no more than this.
     milliseconds answerAllowance { 700 }; ///< Beyond the wait; a later answer means that the store was away.
     milliseconds pace { 400 }; ///< Least time between two calls, so that many changes cost few calls.
-    milliseconds longestBackoff { 1000 }; ///< Between two tries while the store is away.
+    milliseconds longestBackoff { 600 }; ///< Between two tries while the store is away.
 };
 
 /// Keeps up with one kind of objects: lists them, watches for changes, and lists again after the store was away or has
--- a/src/libs/platform/transport.cpp
+++ b/src/libs/platform/transport.cpp
@@ -16,9 +16,6 @@
 constexpr std::size_t maximumIdleConnections = 6;
 constexpr milliseconds longestIdle { 15'000 };
 
-/// A platform that does not accept a connection within this time is taken as unreachable.
-constexpr milliseconds connectTimeout { 1000 };
-
 Error platformError(const Error& error)
 {
     switch (error.code) {
@@ -87,7 +84,7 @@
     if (!connection) {
         connection = std::make_shared<http::ClientConnection>(this->executor);
         const Status connected
-            = co_await connection->connect(address, std::min<TimePoint>(deadline, start + connectTimeout));
+            = co_await connection->connect(address, std::min<TimePoint>(deadline, start + Transport::connectTimeout));
         if (!isOk(connected))
             co_return makeError(ResultCode::PlatformUnreachable, "{}", errorOf(connected).message);
     }
--- a/src/libs/platform/transport.h
+++ b/src/libs/platform/transport.h
@@ -18,6 +18,10 @@
 /// HTTP calls to the platform on one thread: connections that are used again, and a budget. Each call is made once.
 class Transport : public std::enable_shared_from_this<Transport> {
 public:
+    /// A platform that does not accept a connection within this time is taken as unreachable. Several round trips
+    /// between regions; an attempt that began just before a cut healed must not delay the next one for long.
+    static constexpr milliseconds connectTimeout { 500 };
+
     Transport(asio::any_io_executor transportExecutor, TransportSettings transportSettings);
 
     /// The response, whatever its status. Errors: PlatformUnreachable, PlatformTimeout, PlatformBadAnswer,
