Give each object one home server in its region

With a home in each zone an object was made known once a zone, and routes with few requests seldom met a server that knew theirs.

The working time at homes is now measured by itself, and says how far a home may be waited for.

Change: homes are chosen by rendezvous hashing over the servers of the region; in the zone where the bytes of the route cost more than the work that a known object saves. The price of distance counts the answer's usual bytes as well.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -91,6 +91,14 @@
     return "unknown";
 }
 
+/// Weight of the newest size in a route's averages of request and answer bytes.
+constexpr double bytesWeight = 0.1;
+
+void recordBytes(double& average, std::size_t bytes)
+{
+    average += bytesWeight * (static_cast<double>(bytes) - average);
+}
+
 bool isServerFault(const ServerAnswer& answer)
 {
     switch (answer.end) {
@@ -261,7 +269,9 @@
     }
     PlacementRequest request {
         .object = job.object,
-        .bodyBytes = job.request->body.size(),
+        .bytes = job.request->body.size() + static_cast<std::size_t>(job.state->answerBytes),
+        .homeInZone = homesInZone(job.state->work,
+            static_cast<std::size_t>(job.state->requestBytes + job.state->answerBytes), this->settings.placement),
         .work = job.state->work,
         .timeLeft = job.deadline - now,
         .targetLeft = job.target - now,
@@ -492,8 +502,11 @@
         }
     }
     ++job.arrivals;
-    this->counters.notePlacement(expected.isRecent);
-    ++(expected.isRecent ? job.state->recentPlacements : job.state->freshPlacements);
+    const bool isRecent = expected.familiarity == Familiarity::Recent;
+    this->counters.notePlacement(isRecent);
+    ++(isRecent                                          ? job.state->recentPlacements
+            : expected.familiarity == Familiarity::Home ? job.state->homePlacements
+                                                        : job.state->freshPlacements);
     const TimePoint sentAt = Clock::now();
     if (server->silentSince == TimePoint {}) {
         server->silentSince = sentAt;
@@ -543,15 +556,17 @@
     if (answer.end != AttemptEnd::Answered || answer.answer.status >= 300)
         return;
     this->heldBack.noteSuccess(job.fingerprint, now);
+    recordBytes(job.state->requestBytes, job.request->body.size());
+    recordBytes(job.state->answerBytes, answer.answer.body.size());
     if (loadAtSend >= server->entry.slots || (answer.load && answer.load->waiting > 0))
         return; // Part of the time may have been spent waiting.
     const Duration took = now - sentAt;
     const Duration work = std::max<Duration>(took - server->connectTime, milliseconds(1));
-    const Duration usual = expected.isRecent ? job.state->work.recent : job.state->work.fresh;
+    const Duration usual = job.state->work.of(expected.familiarity);
     const double ratio = std::chrono::duration<double>(work) / std::chrono::duration<double>(usual);
     server->slowness += slownessWeight * (std::clamp(ratio, leastSlowness, mostSlowness) - server->slowness);
     if (!isCold(*server, now))
-        recordWork(job.state->work, expected.isRecent, work);
+        recordWork(job.state->work, expected.familiarity, work);
 }
 
 void Forwarder::noteConnectFailure(const ServerPointer& server, TimePoint now)
@@ -675,13 +690,16 @@
 void Forwarder::logRoutes(TimePoint now)
 {
     for (const auto& [name, state] : this->routeStates) {
-        if (state->recentPlacements + state->freshPlacements == 0)
+        if (state->recentPlacements + state->homePlacements + state->freshPlacements == 0)
             continue;
         logInfo("route_summary",
-            { { "route", name }, { "recent", state->recentPlacements }, { "fresh", state->freshPlacements },
+            { { "route", name }, { "recent", state->recentPlacements }, { "home", state->homePlacements },
+                { "fresh", state->freshPlacements },
                 { "recent_ms", std::chrono::duration_cast<milliseconds>(state->work.recent).count() },
+                { "home_ms", std::chrono::duration_cast<milliseconds>(state->work.home).count() },
                 { "fresh_ms", std::chrono::duration_cast<milliseconds>(state->work.fresh).count() } });
         state->recentPlacements = 0;
+        state->homePlacements = 0;
         state->freshPlacements = 0;
     }
     for (const auto& [name, room] : this->waitingRooms) {
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -100,7 +100,10 @@
     struct RouteState {
         ServiceRotation rotation;
         WorkEstimate work;
+        double answerBytes = 0; ///< Moving average of the sizes of answers.
+        double requestBytes = 0; ///< The same for bodies of requests.
         unsigned recentPlacements = 0; ///< Since the last summary line.
+        unsigned homePlacements = 0;
         unsigned freshPlacements = 0;
     };
 
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -53,12 +53,17 @@
     value += scaled(sample - value, isLonger ? weight * longerSampleWeight : weight);
 }
 
-Duration distancePrice(const BackendServer& server, std::size_t bodyBytes, const PlacementLimits& limits)
+Duration bytesPrice(std::size_t bytes, const PlacementLimits& limits)
+{
+    return scaled(limits.perKilobyte, static_cast<double>(bytes) / 1024.0);
+}
+
+Duration distancePrice(const BackendServer& server, std::size_t bytes, const PlacementLimits& limits)
 {
     if (server.locality == Locality::SameZone)
         return {};
     const Duration base = server.locality == Locality::SameRegion ? limits.zoneChange : limits.regionChange;
-    return base + scaled(limits.perKilobyte, static_cast<double>(bodyBytes) / 1024.0);
+    return base + bytesPrice(bytes, limits);
 }
 
 double unitHash(std::string_view text, std::uint64_t seed)
@@ -79,36 +84,55 @@
 
 } // namespace
 
+Duration WorkEstimate::of(Familiarity familiarity) const
+{
+    switch (familiarity) {
+    case Familiarity::Recent:
+        return this->recent;
+    case Familiarity::Home:
+        return this->home;
+    case Familiarity::None:
+        break;
+    }
+    return this->fresh;
+}
+
 WorkEstimate initialWorkEstimate(Duration targetLatency)
 {
-    return { .fresh = targetLatency, .recent = scaled(targetLatency, assumedRecentPart) };
+    const Duration recent = scaled(targetLatency, assumedRecentPart);
+    return { .fresh = targetLatency, .home = (targetLatency + recent) / 2, .recent = recent };
 }
 
-void recordWork(WorkEstimate& estimate, bool wasRecent, Duration work)
+void recordWork(WorkEstimate& estimate, Familiarity familiarity, Duration work)
 {
-    if (wasRecent)
+    switch (familiarity) {
+    case Familiarity::Recent:
         track(estimate.recent, estimate.recentSamples, work);
-    else
+        return;
+    case Familiarity::Home:
+        // A mix of known and new objects, so the mean says what to expect.
+        estimate.home += scaled(work - estimate.home, newestWeight);
+        return;
+    case Familiarity::None:
         track(estimate.fresh, estimate.freshSamples, work);
+    }
 }
 
-/// The home server of an object counts as half known: other instances send their requests there as well, but nobody may
-/// have asked for the object lately. Counting it as known piles new objects up on few servers (measured: quiet days of
-/// both sites lose a tenth of the answers in time).
-Duration expectedWork(const BackendServer& server, const PlacementRequest& request, bool isRecent)
+bool homesInZone(const WorkEstimate& work, std::size_t routeBytes, const PlacementLimits& limits)
 {
-    if (isRecent)
-        return request.work.recent;
-    return &server == request.home ? (request.work.recent + request.work.fresh) / 2 : request.work.fresh;
+    return limits.zoneChange + bytesPrice(routeBytes, limits) > work.fresh - work.recent;
 }
 
 Forecast forecast(
     const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits, TimePoint now)
 {
     Forecast result;
-    result.isRecent = isKnown(server, request, now);
+    if (isKnown(server, request, now))
+        result.familiarity = Familiarity::Recent;
+    else if (&server == request.home)
+        result.familiarity = Familiarity::Home;
     const double slowness = std::max(server.slowness, isCold(server, now) ? coldSlowness : 0.0);
-    const Duration work = scaled(expectedWork(server, request, result.isRecent), slowness);
+    const Duration work = scaled(request.work.of(result.familiarity), slowness);
     const double slots = std::max(1U, server.entry.slots);
     const double load = outstanding(server, now);
     const double ahead = std::max(0.0, load + 1 - slots) / slots;
@@ -117,11 +141,11 @@
     result.completion = server.connectTime + wait + work;
     result.earliest = server.connectTime + wait + scaled(request.work.recent, slowness);
     result.mustWait = load + 1 > slots;
-    result.cost = result.completion + distancePrice(server, request.bodyBytes, limits)
+    result.cost = result.completion + distancePrice(server, request.bytes, limits)
         + scaled(request.work.fresh, usedSlotCost * load / slots)
         + scaled(work, limits.crowding * std::min(1.0, load / slots))
         + scaled(request.work.fresh, failureCost * server.failureRate * server.failureRate);
-    if (request.object != 0 && !result.isRecent)
+    if (request.object != 0 && result.familiarity == Familiarity::None)
         result.cost += scaled(request.work.fresh, rendezvousSpread * unitHash(server.entry.id, request.object));
     return result;
 }
@@ -131,6 +155,18 @@
     return forecast.mustWait && forecast.earliest > request.timeLeft;
 }
 
+/// Likelihood that the server has handled the object lately. At a home server it follows from the measured times.
+double knownPart(const BackendServer& server, const PlacementRequest& request, TimePoint now)
+{
+    if (request.object == 0 || isKnown(server, request, now))
+        return 1.0;
+    const WorkEstimate& work = request.work;
+    if (&server != request.home || work.fresh <= work.recent)
+        return 0.0;
+    const std::chrono::duration<double> saved = work.fresh - work.home;
+    return std::clamp(saved / std::chrono::duration<double>(work.fresh - work.recent), 0.0, 1.0);
+}
+
 Obstacle obstacleOf(const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits,
     bool mayUseCold, TimePoint now)
 {
@@ -143,17 +179,26 @@
     if (isCold(server, now) && !mayUseCold)
         return Obstacle::ColdLimit;
     const bool isLate = request.targetLeft < request.work.recent;
-    const bool isRecent = request.object == 0 || isKnown(server, request, now);
     if (request.yields) {
         const double kept = std::floor(server.entry.slots * limits.slotsKeptFree);
         return outstanding(server, now) >= server.entry.slots - kept ? Obstacle::QueueFull : Obstacle::None;
     }
-    const double waiting = isLate ? 0.0 : isRecent ? limits.waitingPerSlot : limits.freshWaitingPerSlot;
+    const double known = knownPart(server, request, now);
+    const double waiting
+        = isLate ? 0.0 : limits.freshWaitingPerSlot + known * (limits.waitingPerSlot - limits.freshWaitingPerSlot);
     if (outstanding(server, now) >= server.entry.slots * (1 + waiting))
         return Obstacle::QueueFull;
     return Obstacle::None;
 }
 
+/// Whether \a server comes before \a other as a home by its distance alone.
+bool isNearerHome(const BackendServer& server, const BackendServer& other, const PlacementRequest& request)
+{
+    if (!request.homeInZone && server.locality != Locality::OtherRegion && other.locality != Locality::OtherRegion)
+        return false;
+    return server.locality < other.locality;
+}
+
 std::optional<std::size_t> homeOf(std::span<const BackendServer* const> servers, std::span<const std::size_t> excluded,
     const PlacementRequest& request)
 {
@@ -166,12 +211,13 @@
         const bool isAllowed = server.locality != Locality::OtherRegion || request.allowsOtherRegions;
         if (!isUsable(server) || !isAllowed || std::find(excluded.begin(), excluded.end(), i) != excluded.end())
             continue;
-        if (home && server.locality > servers[*home]->locality)
+        const bool isNearer = home && isNearerHome(server, *servers[*home], request);
+        if (home && isNearerHome(*servers[*home], server, request))
             continue;
         // Weighted rendezvous hashing: the least -ln(u) / weight wins.
         const double unit = std::max(unitHash(server.entry.id, request.object), 1e-12);
         const double score = -std::log(unit) / std::max(1U, server.entry.slots);
-        if (!home || server.locality < servers[*home]->locality || score < best) {
+        if (!home || isNearer || score < best) {
             home = i;
             best = score;
         }
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -16,25 +16,36 @@
 /// server is often shorter than the work elsewhere, so servers are compared by the time at which they would answer.
 namespace clementinefall::forwarding {
 
+/// What this instance knows of a server and the object of a request.
+enum class Familiarity : std::uint8_t {
+    None, ///< Nothing says that the server has handled the object lately.
+    Home, ///< The object's home server: other instances send their requests for the object there as well.
+    Recent, ///< This instance has sent it the object lately.
+};
+
 /// Typical working times of one route, measured by this instance without queueing.
 struct WorkEstimate {
     Duration fresh {}; ///< At a server that has not handled the object lately.
-    Duration recent {}; ///< At a server that has.
+    Duration home {}; ///< At the object's home server, when this instance has not sent it the object lately.
+    Duration recent {}; ///< At a server that has handled it.
     unsigned freshSamples = 0;
     unsigned recentSamples = 0;
+
+    Duration of(Familiarity familiarity) const;
 };
 
 /// Estimate before any measurement: an ordinary request takes its target latency, a repeated one under half of it.
 WorkEstimate initialWorkEstimate(Duration targetLatency);
 
 /// Adds the working time of an answered request to the average of its kind.
-void recordWork(WorkEstimate& estimate, bool wasRecent, Duration work);
+void recordWork(WorkEstimate& estimate, Familiarity familiarity, Duration work);
 
 /// The request to place.
 struct PlacementRequest {
     std::uint64_t object = 0; ///< Hash of route and affinity key; 0 without affinity.
     const BackendServer* home = nullptr; ///< Set by choosePlacement() from homeOf().
-    std::size_t bodyBytes = 0;
+    std::size_t bytes = 0; ///< Of its body, and of the route's usual answer.
+    bool homeInZone = false; ///< The home server is chosen in the own zone; see homesInZone().
     WorkEstimate work;
     Duration timeLeft {}; ///< Until the caller's deadline or the route's timeout.
     Duration targetLeft {}; ///< Until the answer counts as late; may be negative.
@@ -72,9 +83,14 @@
     Duration cost {}; ///< Completion plus the price of distance; decides between servers.
     Duration earliest {}; ///< Completion if the work is as short as this route's ever is, with the wait that is known.
     bool mustWait = false; ///< All slots of the server are in use.
-    bool isRecent = false; ///< The server recently handled the object.
+    Familiarity familiarity = Familiarity::None;
 };
 
+/// Whether the objects of a route have a home server in each zone instead of one in each region. One in a region makes
+/// the servers meet a known object more often; that pays unless moving \a routeBytes, the usual size of the route's
+/// request and answer, between zones is worth more than the work that it saves.
+bool homesInZone(const WorkEstimate& work, std::size_t routeBytes, const PlacementLimits& limits);
+
 Forecast forecast(
     const BackendServer& server, const PlacementRequest& request, const PlacementLimits& limits, TimePoint now);
 
--- a/src/libs/forwarding/tst_placement.cpp
+++ b/src/libs/forwarding/tst_placement.cpp
@@ -24,7 +24,7 @@
 {
     PlacementRequest request;
     request.object = object;
-    request.work = { .fresh = milliseconds(640), .recent = milliseconds(200) };
+    request.work = { .fresh = milliseconds(640), .home = milliseconds(640), .recent = milliseconds(200) };
     request.timeLeft = seconds(3);
     request.targetLeft = milliseconds(500);
     return request;
@@ -54,7 +54,7 @@
         const Placement placement = choose(servers, request);
         REQUIRE(placement.server);
         CHECK(*placement.server == 1);
-        CHECK(placement.forecast.isRecent);
+        CHECK(placement.forecast.familiarity == Familiarity::Recent);
     }
 
     SECTION("a new object goes to the same server whatever the order of the list")
@@ -107,6 +107,41 @@
         CHECK_FALSE(choose(servers, request).server);
     }
 
+    SECTION("a home server whose times show that it knows its objects may be waited for like one that is known")
+    {
+        request.work.home = request.work.recent;
+        for (BackendServer& server : servers)
+            server.inFlight = 7;
+        const Placement placement = choose(servers, request);
+        REQUIRE(placement.server);
+        CHECK(placement.forecast.familiarity == Familiarity::Home);
+    }
+
+    SECTION("an object has one home in the region, which instances of both zones agree on, unless its bytes are many")
+    {
+        request.work.home = request.work.recent;
+        unsigned agreed = 0;
+        unsigned agreedInZone = 0;
+        constexpr unsigned objects = 60;
+        for (unsigned object = 1; object <= objects; ++object) {
+            request.object = object * 7919;
+            std::vector<BackendServer> fromOther = servers;
+            servers[0].locality = servers[1].locality = Locality::SameZone;
+            servers[2].locality = Locality::SameRegion;
+            fromOther[0].locality = fromOther[1].locality = Locality::SameRegion;
+            fromOther[2].locality = Locality::SameZone;
+            request.homeInZone = false;
+            agreed += choose(servers, request).server == choose(fromOther, request).server ? 1 : 0;
+            request.homeInZone = true;
+            agreedInZone += choose(servers, request).server == choose(fromOther, request).server ? 1 : 0;
+        }
+        CHECK(agreed == objects);
+        CHECK(agreedInZone == 0);
+        const PlacementLimits limits;
+        CHECK_FALSE(homesInZone(request.work, 2 * 1024, limits));
+        CHECK(homesInZone(request.work, 60 * 1024, limits));
+    }
+
     SECTION("a request that yields leaves slots free for urgent ones")
     {
         request.yields = true;
@@ -219,7 +254,7 @@
     SECTION("samples that include unseen waiting hardly move the estimate")
     {
         for (int i = 0; i < 50; ++i)
-            recordWork(estimate, true, i % 4 == 0 ? milliseconds(900) : milliseconds(200));
+            recordWork(estimate, Familiarity::Recent, i % 4 == 0 ? milliseconds(900) : milliseconds(200));
         CHECK(estimate.recent > milliseconds(190));
         CHECK(estimate.recent < milliseconds(400));
     }
