--- a/src/libs/platform/transport.cpp
+++ b/src/libs/platform/transport.cpp
@@ -88,6 +88,7 @@
         if (!isOk(connected))
             co_return makeError(ResultCode::PlatformUnreachable, "{}", errorOf(connected).message);
     }
+    this->busy.push_back(connection);
     const Result<Response> response = co_await connection->exchange(std::move(request), maximumListBytes, deadline);
     std::erase_if(this->busy, [&connection](const auto& weak) { return weak.lock() == connection; });
     if (!isOk(response))
