--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinefall::platform {
 
@@ -59,7 +60,11 @@
 
 Awaitable<bool> KindWatcher::listOnce()
 {
-    const Result<ObjectSet> set = co_await this->source->list(this->kind);
+    // The first list may be old: changes since its revision follow at once. A later one could bring back what is known to
+    // be gone.
+    const bool isFirst = !this->hasListed;
+    const Freshness freshness = isFirst ? Freshness::MayBeOld : this->timing.freshness;
+    const Result<ObjectSet> set = co_await this->source->list(this->kind, freshness);
     if (!isOk(set)) {
         this->noteFailure(errorOf(set));
         this->wasAway = this->wasAway || this->hasListed;
@@ -72,13 +77,15 @@
         this->onList(valueOf(set), this->wasAway);
     this->hasListed = true;
     this->wasAway = false;
+    this->mustCatchUp = isFirst;
     co_return true;
 }
 
 Awaitable<bool> KindWatcher::watchOnce()
 {
     const TimePoint start = Clock::now();
-    const Result<ChangeSet> result = co_await this->source->changes(this->kind, this->revision, this->timing.wait);
+    const Result<ChangeSet> result
+        = co_await this->source->changes(this->kind, this->revision, this->timing.wait, this->timing.freshness);
     if (!isOk(result)) {
         this->needsList = true;
         if (errorOf(result).code == ResultCode::PlatformHistoryLost) {
@@ -112,7 +119,7 @@
         Duration delay = this->timing.pace;
         if (!succeeded)
             delay = std::min<Duration>(backoffDelay(this->failures, this->random), this->timing.longestBackoff);
-        else if (this->needsList)
+        else if (this->needsList || std::exchange(this->mustCatchUp, false))
             continue;
         this->pause.expires_after(delay);
         co_await this->pause.async_wait(useTuple);
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/value.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,23 +38,29 @@
     std::vector<ObjectChange> changes;
 };
 
+/// What a read must return. A read that may be old costs the store little.
+enum class Freshness : std::uint8_t { Latest, MayBeOld };
+
 /// A store whose objects can be listed and watched by kind.
 class ObjectSource {
 public:
     virtual ~ObjectSource() = default;
 
     /// All objects of a kind. Errors: those of Transport::call().
-    virtual Awaitable<Result<ObjectSet>> list(std::string kind) = 0;
+    virtual Awaitable<Result<ObjectSet>> list(std::string kind, Freshness freshness) = 0;
 
     /// Changes after \a revision; waits up to \a wait for the first one and may then return none. Errors: as above;
     /// PlatformHistoryLost when the store no longer knows what changed.
-    virtual Awaitable<Result<ChangeSet>> changes(std::string kind, std::uint64_t revision, milliseconds wait) = 0;
+    virtual Awaitable<Result<ChangeSet>> changes(
+        std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness)
+        = 0;
 };
 
 struct WatchTiming {
     milliseconds wait { 4000 }; ///< Length of one waiting call; a connection that went silent costs no more than this.
     milliseconds answerAllowance { 700 }; ///< Beyond the wait; a later answer means that the store was away.
     milliseconds pace { 400 }; ///< Least time between two calls, so that many changes cost few calls.
+    Freshness freshness = Freshness::Latest; ///< Of the changes, and of all lists but the first.
     milliseconds longestBackoff { 600 }; ///< Between two tries while the store is away.
 };
 
@@ -94,6 +101,7 @@
     unsigned failures = 0;
     bool needsList = true;
     bool hasListed = false;
+    bool mustCatchUp = false; ///< The list may have been old; the changes since then are read without a pause.
     bool wasAway = false;
     bool stopped = false;
     TimePoint contactAt {};
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -20,8 +20,9 @@
     {
     }
 
-    Awaitable<Result<ObjectSet>> list(std::string) override
+    Awaitable<Result<ObjectSet>> list(std::string, Freshness freshness) override
     {
+        this->listFreshness.push_back(freshness);
         ++this->listCalls;
         if (this->lists.empty()) {
             co_await this->never.async_wait(useTuple);
@@ -32,8 +33,10 @@
         co_return result;
     }
 
-    Awaitable<Result<ChangeSet>> changes(std::string, std::uint64_t revision, milliseconds wait) override
+    Awaitable<Result<ChangeSet>> changes(
+        std::string, std::uint64_t revision, milliseconds wait, Freshness freshness) override
     {
+        CHECK(freshness == Freshness::Latest);
         this->revisions.push_back(revision);
         if (this->watches.empty()) {
             co_await this->never.async_wait(useTuple);
@@ -54,6 +57,7 @@
     std::deque<Result<ObjectSet>> lists;
     std::deque<Result<ChangeSet>> watches;
     std::vector<std::uint64_t> revisions;
+    std::vector<Freshness> listFreshness;
     unsigned listCalls = 0;
     bool answersLate = false;
 };
@@ -109,6 +113,32 @@
         CHECK(source->revisions[2] == 12);
     }
 
+    SECTION("what changed since a first list that may be old is read without a pause")
+    {
+        WatchTiming slow = timing;
+        slow.pace = seconds(2);
+        const auto slowWatcher = std::make_shared<KindWatcher>(context.get_executor(), source, "servers", slow);
+        source->lists = { setOf(7) };
+        slowWatcher->start();
+        context.run_for(milliseconds(200));
+        CHECK(source->revisions.size() == 1);
+        slowWatcher->stop();
+        source->never.cancel();
+        context.run_for(milliseconds(20));
+    }
+
+    SECTION("only the first list may be old: a later one could bring back servers that are known to have left")
+    {
+        source->lists = { setOf(7), setOf(20), setOf(30) };
+        source->watches = { makeError(ResultCode::PlatformHistoryLost, "410"),
+            makeError(ResultCode::PlatformTimeout, "silence") };
+        play();
+        REQUIRE(source->listFreshness.size() >= 3);
+        CHECK(source->listFreshness[0] == Freshness::MayBeOld);
+        CHECK(source->listFreshness[1] == Freshness::Latest);
+        CHECK(source->listFreshness[2] == Freshness::Latest);
+    }
+
     SECTION("lost history leads to a new list, which is no outage")
     {
         source->lists = { setOf(7), setOf(20) };
