--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -504,7 +504,7 @@
     ++job.arrivals;
     const bool isRecent = expected.familiarity == Familiarity::Recent;
     this->counters.notePlacement(isRecent);
-    ++(isRecent                                          ? job.state->recentPlacements
+    ++(isRecent                                         ? job.state->recentPlacements
             : expected.familiarity == Familiarity::Home ? job.state->homePlacements
                                                         : job.state->freshPlacements);
     const TimePoint sentAt = Clock::now();
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/callerserver.h"
 #include "forwarding/testwire.h"
 
+#include "base/random.h"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -511,6 +513,49 @@
     CHECK(fixture.first.requests.empty());
 }
 
+TEST_CASE("Damaged requests")
+{
+    // A request whose bytes were changed must not crash the instance, and must not make it send a server anything that
+    // was not asked for. Fixed seeds, so that every run sees the same bytes.
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        INFO("seed " << seed);
+        Random random(seed);
+        Fixture fixture;
+        const bool isChunked = randomBelow(random, 2) == 0;
+        const std::string valid = isChunked
+            ? "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "3\r\nabc\r\n0\r\n\r\n"
+            : requestBytes("r1", "/once/1", "POST");
+        std::string bytes = valid;
+        for (std::uint64_t change = 0; change <= randomBelow(random, 4); ++change) {
+            const std::size_t at = randomBelow(random, bytes.size());
+            constexpr std::string_view odd = "\r\n\0 :;0f\xff";
+            switch (randomBelow(random, 3)) {
+            case 0:
+                bytes[at] = odd[randomBelow(random, odd.size())];
+                break;
+            case 1:
+                bytes.erase(at, randomBelow(random, 8) + 1);
+                break;
+            default:
+                bytes.insert(at, bytes.substr(randomBelow(random, bytes.size()), randomBelow(random, 20)));
+            }
+            if (bytes.empty())
+                bytes = "\r\n";
+        }
+        const auto socket = fixture.open(bytes);
+        fixture.context.run_for(milliseconds(15));
+        beast::error_code ignored;
+        socket->shutdown(tcp::socket::shutdown_send, ignored);
+        fixture.context.run_for(milliseconds(10));
+        CHECK(fixture.first.requests.size() <= 1);
+        for (const std::string& request : fixture.first.requests)
+            CHECK(bytes.find(request.substr(0, request.find('\r'))) != std::string::npos);
+        // The instance still serves the next caller.
+        CHECK(fixture.exchange(requestBytes("r2", "/safe/2"), "whole").ends_with("whole"));
+    }
+}
+
 TEST_CASE("A stop")
 {
     Fixture fixture;
--- a/src/libs/forwarding/tst_placementload.cpp
+++ b/src/libs/forwarding/tst_placementload.cpp
@@ -115,7 +115,8 @@
             if (server.memory.size() > remembered)
                 server.memory.pop_front();
             job.ends = this->now + (job.wasRecent ? recentWork : freshWork);
-            recordWork(this->work, job.wasRecent ? Familiarity::Recent : Familiarity::None, job.wasRecent ? recentWork : freshWork);
+            recordWork(this->work, job.wasRecent ? Familiarity::Recent : Familiarity::None,
+                job.wasRecent ? recentWork : freshWork);
             server.running.push_back(job);
         }
     }
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -60,8 +60,8 @@
 
 Awaitable<bool> KindWatcher::listOnce()
 {
-    // The first list may be old: changes since its revision follow at once. A later one could bring back what is known to
-    // be gone.
+    // The first list may be old: changes since its revision follow at once. A later one could bring back what is known
+    // to be gone.
     const bool isFirst = !this->hasListed;
     const Freshness freshness = isFirst ? Freshness::MayBeOld : this->timing.freshness;
     const Result<ObjectSet> set = co_await this->source->list(this->kind, freshness);
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -130,8 +130,8 @@
     SECTION("only the first list may be old: a later one could bring back servers that are known to have left")
     {
         source->lists = { setOf(7), setOf(20), setOf(30) };
-        source->watches = { makeError(ResultCode::PlatformHistoryLost, "410"),
-            makeError(ResultCode::PlatformTimeout, "silence") };
+        source->watches
+            = { makeError(ResultCode::PlatformHistoryLost, "410"), makeError(ResultCode::PlatformTimeout, "silence") };
         play();
         REQUIRE(source->listFreshness.size() >= 3);
         CHECK(source->listFreshness[0] == Freshness::MayBeOld);
