--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -557,7 +557,9 @@
         return;
     this->heldBack.noteSuccess(job.fingerprint, now);
     recordBytes(job.state->requestBytes, job.request->body.size());
-    recordBytes(job.state->answerBytes, answer.answer.body.size());
+    // Of a longer answer only its least size is known here.
+    recordBytes(
+        job.state->answerBytes, answer.wasStreamed ? ServerConnection::heldAnswerBytes : answer.answer.body.size());
     if (loadAtSend >= server->entry.slots || (answer.load && answer.load->waiting > 0))
         return; // Part of the time may have been spent waiting.
     const Duration took = now - sentAt;
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/placement.h"
 
+#include "base/durations.h"
 #include "base/hash.h"
 
 #include <algorithm>
@@ -37,11 +38,6 @@
 constexpr milliseconds shortestRetryAfter { 100 };
 constexpr milliseconds longestRetryAfter { 800 };
 
-Duration scaled(Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(duration) * factor);
-}
-
 /// Moves \a value towards a quantile of the samples below the median: the others include waiting that was not seen, or
 /// an object that the server had forgotten.
 void track(Duration& value, unsigned& samples, Duration sample)
