Look a request's route up once; share the test for syntax errors

A caller's session looked the route up to learn whether the request may run early, and the forwarder looked it up again, over all routes and on the hot path. The route stays with the ticket now, together with its configuration; a request that waited for its turn while the configuration changed is looked up anew, as before. The test whether an error comes from the bytes stood in the session and in the server connection; it is http::isSyntaxError(). Three scalings of durations use base/durations.h. No behaviour is meant to change.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/callersession.h"
 
 #include "base/log.h"
+#include "http/syntaxerror.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,13 +46,6 @@
     return ResultCode::BadRequest;
 }
 
-/// Whether \a error comes from the bytes that were received and not from the connection.
-bool isSyntaxError(beast::error_code error)
-{
-    return error.category() == make_error_code(beast::http::error::bad_version).category()
-        && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
-}
-
 } // namespace
 
 struct CallerSession::Entry {
@@ -212,7 +206,7 @@
     }
     if (headerError) {
         const bool isSlow = headerError == asio::error::operation_aborted && this->buffer.size() > 0;
-        if (isSlow || isSyntaxError(headerError)) {
+        if (isSlow || http::isSyntaxError(headerError)) {
             const Error problem = isSlow ? makeError(ResultCode::SlowSender, "the header took too long")
                                          : makeError(codeOfReadError(headerError), "{}", headerError.message());
             co_await this->reject(problem, nullptr);
@@ -284,7 +278,7 @@
     while (!parser.is_done()) {
         this->arm(Clock::now() + bodyStall);
         const auto [error, bytes] = co_await beast::http::async_read_some(this->socket, this->buffer, parser, useTuple);
-        if (error && isSyntaxError(error))
+        if (error && http::isSyntaxError(error))
             co_return makeError(codeOfReadError(error), "{}", error.message());
         if (error == asio::error::operation_aborted && !this->isClosed)
             co_return makeError(ResultCode::SlowSender, "the body took too long");
@@ -310,8 +304,8 @@
     const bool isHead = request.method == "HEAD";
     // Only requests that may be repeated run beside an earlier one: what follows an answer that closes the connection
     // is sent again.
-    const auto& configuration = this->context->forwarder->configuration();
-    const Route* route = configuration ? findRoute(*configuration, request.host, request.target) : nullptr;
+    this->context->forwarder->resolve(*entry->ticket);
+    const Route* route = entry->ticket->route;
     const bool mayRepeat = route != nullptr && route->isIdempotent();
     if (!mayRepeat && this->queue.front() != entry && !co_await this->awaitTurn(entry)) {
         this->finishEntry(entry);
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/forwarder.h"
 
+#include "base/durations.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -312,9 +313,8 @@
     // The neighbours' waiting requests compete for the same slots.
     const auto sharing = static_cast<double>(std::max<std::size_t>(1, this->zoneInstanceCount));
     const Duration work = job.state->work.recent;
-    const auto queueTime = slots <= 0 ? Duration::max()
-                                      : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(work)
-                                          * (static_cast<double>(room.ahead(rank)) + 1) * sharing / slots);
+    const Duration queueTime
+        = slots <= 0 ? Duration::max() : scaled(work, (static_cast<double>(room.ahead(rank)) + 1) * sharing / slots);
     const TimePoint received = job.request->receivedAt;
     const Duration patience
         = std::max<Duration>(job.route->targetLatency, (job.deadline - received) / longestWaitDivisor);
@@ -340,6 +340,14 @@
     co_return outcome;
 }
 
+void Forwarder::resolve(RequestTicket& ticket) const
+{
+    if (ticket.configuration == this->currentConfiguration)
+        return;
+    ticket.configuration = this->currentConfiguration;
+    ticket.route = findRoute(*ticket.configuration, ticket.request->host, ticket.request->target);
+}
+
 void Forwarder::refuseWaiting()
 {
     this->refusesWaiting = true;
@@ -361,11 +369,12 @@
     Job job;
     job.ticket = ticket;
     job.request = ticket->request;
-    job.configuration = this->currentConfiguration;
+    this->resolve(*ticket);
+    job.configuration = ticket->configuration;
     if (!job.configuration)
         co_return this->refuse(
             job, makeError(ResultCode::NotRunNoBundle, "no configuration is known yet"), startupRetryAfter);
-    job.route = findRoute(*job.configuration, job.request->host, job.request->target);
+    job.route = ticket->route;
     if (job.route == nullptr) {
         co_return this->refuse(job,
             makeError(ResultCode::NotFound, "no route for {}{}", job.request->host, job.request->target), Duration {});
@@ -603,7 +612,7 @@
 {
     // Those who are refused together must not return together.
     const double factor = 0.5 + randomUnit(this->random);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause) * factor);
+    return scaled(pause, factor);
 }
 
 Forwarder::Outcome Forwarder::refuse(Job& job, const Error& error, Duration retryAfter)
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -33,6 +33,8 @@
     AnswerSink* sink = nullptr; ///< Takes a long answer in pieces.
     bool isCancelled = false; ///< The caller has left.
     bool mustEnd = false; ///< The instance stops and waits no longer.
+    std::shared_ptr<const Configuration> configuration; ///< Set by Forwarder::resolve().
+    const Route* route = nullptr; ///< In `configuration`; none when no route matches.
     std::function<void()> onCancel; ///< Set while something can be interrupted.
 
     /// The caller has left: whatever still runs for the request is ended.
@@ -62,6 +64,9 @@
     };
     Awaitable<Outcome> forward(std::shared_ptr<RequestTicket> ticket);
 
+    /// Looks the request's route up in the configuration in force, unless that was done already.
+    void resolve(RequestTicket& ticket) const;
+
     /// For a stop: requests that wait for room are refused now, and later ones do not wait.
     void refuseWaiting();
     /// For the end of a stop: every request is answered now. An answer that is ready may be behind one that is not.
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -265,7 +265,7 @@
 {
     if (requestsPerSecond <= 0)
         return {};
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(coldSenders / requestsPerSecond));
+    return fromSeconds(coldSenders / requestsPerSecond);
 }
 
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/serverconnection.h"
 
 #include "http/sockets.h"
+#include "http/syntaxerror.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -305,8 +306,6 @@
     ServerAnswer result = reading.result;
     if (result.detail.empty())
         result.detail = error.message();
-    const bool isParseError = error && error.category() == make_error_code(beast::http::error::bad_version).category()
-        && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
     if (this->cancelled)
         result.end = AttemptEnd::CancelledSent;
     else if (this->timedOut)
@@ -316,7 +315,7 @@
     else if (reading.hasBegun)
         result.end = AttemptEnd::AnswerCut;
     else if (reading.parser)
-        result.end = isParseError || !error ? AttemptEnd::AnswerInvalid : AttemptEnd::WrittenAndLost;
+        result.end = http::isSyntaxError(error) || !error ? AttemptEnd::AnswerInvalid : AttemptEnd::WrittenAndLost;
     result.closedByServer = result.end == AttemptEnd::WrittenAndLost;
     this->close();
     return result;
