forwarding: downloads, bounded reads of endless bytes, stage times in the route summary

Cause: routes of the kind "download" were decoded as non-idempotent, so a download that failed before anything was delivered was not sent again. Interim responses without end were read until the deadline. A caller that stopped reading a streamed response was never closed.

Change: RouteKind::Download, treated as idempotent while nothing was delivered. Unparsed bytes are limited in both directions, interim responses to 8, bodies of responses to other requests to 1 MB, and a streamed response to 10 s beyond the deadline. The write timeout also covers streamed responses. route_summary logs the mean times in the queue, connecting and exchanging, and how many answers were late.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -21,8 +21,9 @@
 /// Limit of queued requests per connection; further ones stay in the socket's receive buffer.
 constexpr std::size_t maximumPipelinedRequests = 16;
 
-/// Timeout for writing a response; the connection is closed then.
-constexpr seconds writeTimeout { 20 };
+/// Limit of the bytes that are received but not parsed yet, beyond the limit of a header. Chunk extensions and trailers
+/// are parsed as a whole, so a caller could fill the memory with one that never ends.
+constexpr std::size_t maximumUnparsedBytes = 64UL * 1024;
 
 /// Maximum time between two reads of a body.
 constexpr seconds bodyReadTimeout { 10 };
@@ -96,8 +97,10 @@
 private:
     Awaitable<bool> writeAll(std::string_view text)
     {
+        this->session->armWriteWatchdog();
         const auto [error, bytes]
             = co_await asio::async_write(this->session->socket, asio::buffer(text.data(), text.size()), useTuple);
+        this->session->writeWatchdog.cancel();
         co_return !error;
     }
 
@@ -133,6 +136,19 @@
     });
 }
 
+void CallerSession::armWriteWatchdog()
+{
+    this->writeWatchdog.expires_after(this->context->writeTimeout);
+    this->writeWatchdog.async_wait([weak = this->weak_from_this()](beast::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->isClosed)
+            return;
+        logInfo("caller_too_slow",
+            { { "timeout_ms", std::chrono::duration_cast<milliseconds>(self->context->writeTimeout).count() } });
+        self->close();
+    });
+}
+
 void CallerSession::armIdleTimeout()
 {
     if (this->queue.empty() && !this->isReading)
@@ -190,6 +206,7 @@
     }
     const CallerLimits bounds = this->limits();
     this->armWatchdog(Clock::now() + bounds.headerTimeout);
+    this->buffer.max_size(bounds.maximumHeaderBytes + maximumUnparsedBytes);
     Parser parser;
     parser.header_limit(bounds.maximumHeaderBytes);
     parser.body_limit(bounds.maximumBodyBytes);
@@ -373,12 +390,7 @@
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::const_buffer {} };
     if (!isHead && response.status != 204 && response.status != 304)
         buffers[1] = asio::buffer(response.body);
-    this->writeWatchdog.expires_after(writeTimeout);
-    this->writeWatchdog.async_wait([weak = this->weak_from_this()](beast::error_code error) {
-        const auto self = weak.lock();
-        if (!error && self)
-            self->close();
-    });
+    this->armWriteWatchdog();
     const auto [error, bytes] = co_await asio::async_write(this->socket, buffers, useTuple);
     this->writeWatchdog.cancel();
     co_return !error;
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -40,6 +40,8 @@
 struct SessionContext {
     std::shared_ptr<Forwarder> forwarder;
     WireNames names;
+    /// Time for writing a response, or one part of a streamed response, to a caller that reads slowly.
+    Duration writeTimeout = seconds(20);
     BodyMemoryBudget bodyMemory { 64ULL * 1024 * 1024 };
     bool isStopping = false; ///< Connections are closed after the last queued response.
     bool rejectsNewRequests = false; ///< New requests are rejected as not run.
@@ -84,6 +86,7 @@
     void finishRequest(const std::shared_ptr<QueuedRequest>& queued);
     void cancelRequests();
     void armWatchdog(TimePoint deadline);
+    void armWriteWatchdog();
     void armIdleTimeout();
     CallerLimits limits() const;
 
--- a/src/libs/forwarding/configuration.h
+++ b/src/libs/forwarding/configuration.h
@@ -14,7 +14,8 @@
 enum class RouteKind : std::uint8_t {
     Idempotent, ///< May run more than once.
     NonIdempotent, ///< Runs at most once for each attempt of the caller.
-    Upload, ///< Large body; otherwise as NonIdempotent.
+    Upload, ///< Large request body; otherwise as NonIdempotent.
+    Download, ///< Large response body; otherwise as Idempotent.
 };
 
 struct WeightedService {
@@ -36,7 +37,7 @@
     std::vector<std::string> allowedRegions; ///< Empty allows every region.
     bool isLowPriority = false; ///< Set by markLowPriorityRoutes().
 
-    bool isIdempotent() const { return this->kind == RouteKind::Idempotent; }
+    bool isIdempotent() const { return this->kind == RouteKind::Idempotent || this->kind == RouteKind::Download; }
 };
 
 struct Service {
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -102,6 +102,11 @@
     average += sizeWeight * (static_cast<double>(bytes) - average);
 }
 
+std::int64_t meanMs(Duration sum, unsigned count)
+{
+    return count == 0 ? 0 : std::chrono::duration_cast<milliseconds>(sum / count).count();
+}
+
 bool isServerFault(const ServerResponse& response)
 {
     switch (response.end) {
@@ -139,6 +144,9 @@
     /// Retry-After from the last placement that found no server. The default is about one processing time.
     Duration retryAfter = milliseconds(250);
     std::string attemptLog; ///< `server:end` of each attempt.
+    Duration queued {}; ///< Total time in the queue.
+    Duration connecting {}; ///< Total time for connects.
+    Duration exchanging {}; ///< Total time from sending to a backend server until its response.
 };
 
 void RequestContext::interrupt()
@@ -334,6 +342,7 @@
     // Polls, because slots that other instances free up wake no request here.
     const TimePoint nextCheck = std::min(until, now + capacityCheckInterval);
     co_await queue.wait(this->executor, rank, nextCheck, setCancel);
+    job.queued += Clock::now() - now;
     co_return !context->isCancelled && Clock::now() < until;
 }
 
@@ -516,7 +525,9 @@
         context->onCancel = [connection] { connection->close(); };
         const Duration timeout = connectTimeoutBase + connectRoundTrips * server->connectTime;
         const Duration left = job.deadline - Clock::now();
+        const TimePoint connectStart = Clock::now();
         const bool connected = co_await connection->connect(std::min(timeout, left));
+        job.connecting += Clock::now() - connectStart;
         context->onCancel = {};
         // The server may have become unusable or cold during the connect.
         const bool isStillEligible = isUsable(*server) && (wasCold || !isCold(*server, Clock::now()));
@@ -548,6 +559,7 @@
     ServerResponse response = co_await connection->exchange(
         job.request, std::move(head), this->settings.names, job.deadline, *context->sink);
     context->onCancel = {};
+    job.exchanging += Clock::now() - sentAt;
     --server->inFlight;
     if (response.isConnectionLost)
         this->onServerCrash(server, Clock::now());
@@ -647,6 +659,14 @@
     const std::string routeName = job.route == nullptr ? "none" : job.route->name;
     this->counters.recordRequest(routeName, outcome.response.code, outcome.response.status, took);
     const bool isGood = outcome.response.status < 300 && !outcome.isTruncated;
+    if (job.state && isGood) {
+        StageTimes& times = job.state->stageTimes;
+        ++times.requests;
+        times.late += Clock::now() > job.target ? 1 : 0;
+        times.queued += job.queued;
+        times.connecting += job.connecting;
+        times.exchanging += job.exchanging;
+    }
     // Logs the requests that failed or needed more than one attempt.
     if (!isGood || job.attemptsSent > 1) {
         logInfo("request",
@@ -728,7 +748,12 @@
                 { "fresh", state->uncachedPlacements },
                 { "recent_ms", std::chrono::duration_cast<milliseconds>(state->processingTime.cached).count() },
                 { "home_ms", std::chrono::duration_cast<milliseconds>(state->processingTime.home).count() },
-                { "fresh_ms", std::chrono::duration_cast<milliseconds>(state->processingTime.uncached).count() } });
+                { "fresh_ms", std::chrono::duration_cast<milliseconds>(state->processingTime.uncached).count() },
+                { "answered", state->stageTimes.requests }, { "late", state->stageTimes.late },
+                { "queued_ms", meanMs(state->stageTimes.queued, state->stageTimes.requests) },
+                { "connecting_ms", meanMs(state->stageTimes.connecting, state->stageTimes.requests) },
+                { "exchanging_ms", meanMs(state->stageTimes.exchanging, state->stageTimes.requests) } });
+        state->stageTimes = {};
         state->cachedPlacements = 0;
         state->homePlacements = 0;
         state->uncachedPlacements = 0;
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -108,6 +108,14 @@
 
 private:
     struct Job;
+    /// Sums of the time that requests spent in each stage of forwarding.
+    struct StageTimes {
+        unsigned requests = 0;
+        unsigned late = 0; ///< Answered after the route's target latency.
+        Duration queued {}; ///< In the queue of this instance.
+        Duration connecting {};
+        Duration exchanging {}; ///< From sending to a backend server until its response.
+    };
     struct RouteState {
         ServiceRotation rotation;
         ProcessingTimeEstimate processingTime;
@@ -117,6 +125,8 @@
         unsigned cachedPlacements = 0;
         unsigned homePlacements = 0;
         unsigned uncachedPlacements = 0;
+        /// Times of the requests finished since the last summary line, by stage.
+        StageTimes stageTimes;
     };
 
     Awaitable<Outcome> processRequest(std::shared_ptr<RequestContext> context);
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -28,16 +28,27 @@
 /// server closes the connection is lost.
 constexpr milliseconds idleMargin { 1000 };
 
-/// Responses to other requests that are discarded before the connection is closed.
+/// Responses to other requests that are discarded before the connection is closed, and the total size of their bodies.
+/// A faulty server may send them without end.
 constexpr unsigned maximumUnrelatedResponses = 4;
+constexpr std::size_t maximumUnrelatedBytes = 1024UL * 1024;
+
+/// Interim responses (status 1xx) that are skipped before the connection is closed.
+constexpr unsigned maximumInterimResponses = 8;
 
 constexpr std::uint32_t maximumResponseHeaderBytes = 64U * 1024U;
 
+/// Limit of the bytes that are received but not parsed yet. Chunk extensions and trailers are parsed as a whole, so a
+/// faulty server could fill the memory with one that never ends.
+constexpr std::size_t maximumUnparsedBytes = maximumResponseHeaderBytes + 64U * 1024U;
+
 /// Bodies up to this size are written together with the header; they fit into the socket's send buffer.
 constexpr std::size_t maximumBytesWithHeader = 16UL * 1024;
 
-/// Maximum time between two reads of a streamed response.
+/// Maximum time between two reads of a streamed response, and its maximum time beyond the deadline of the request. No
+/// caller waits that long, so a longer response comes from a faulty server.
 constexpr seconds maximumStall { 10 };
+constexpr seconds maximumStreamingOverrun { 10 };
 
 std::optional<unsigned> parseUnsigned(std::string_view text)
 {
@@ -85,12 +96,15 @@
     bool isForOtherRequest = false; ///< Its request id is a different one.
     bool isInvalid = false;
     bool hasStarted = false; ///< The header of the response to this request has arrived.
+    TimePoint streamingDeadline {};
+    std::size_t unrelatedBytes = 0; ///< Of the bodies of responses to other requests.
 };
 
 ServerConnection::ServerConnection(const asio::any_io_executor& executor, ServerPointer connectionServer)
     : socket(executor)
     , watchdog(executor)
     , server(std::move(connectionServer))
+    , buffer(maximumUnparsedBytes)
     , idleLimit(defaultIdleLimit)
 {
 }
@@ -166,6 +180,7 @@
     this->armWatchdog(deadline);
     PendingResponse pending;
     pending.request = request;
+    pending.streamingDeadline = deadline + maximumStreamingOverrun;
 
     const bool writesBodyWithHeader = request->body.size() <= maximumBytesWithHeader;
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::const_buffer {} };
@@ -180,6 +195,7 @@
     if (!writesBodyWithHeader)
         asio::co_spawn(this->socket.get_executor(), this->writeBody(request), asio::detached);
 
+    unsigned interimResponses = 0;
     for (unsigned unrelatedResponses = 0; unrelatedResponses <= maximumUnrelatedResponses;) {
         pending.parser.emplace();
         pending.parser->header_limit(maximumResponseHeaderBytes);
@@ -191,8 +207,14 @@
         if (error)
             co_return this->failure(pending, error);
         const unsigned status = pending.parser->get().result_int();
-        if (status / 100 == 1)
-            continue; // Interim response; the final one follows.
+        if (status / 100 == 1) {
+            if (++interimResponses > maximumInterimResponses) {
+                pending.result.detail = "received too many interim responses";
+                pending.isInvalid = true;
+                co_return this->failure(pending, {});
+            }
+            continue; // The final response follows.
+        }
         this->processHeader(pending, names);
         if (pending.isInvalid)
             co_return this->failure(pending, {});
@@ -276,9 +298,17 @@
         }
         if (body.size() < maximumBufferedBytes)
             continue;
+        if (pending.isForOtherRequest) {
+            pending.unrelatedBytes += body.size();
+            if (pending.unrelatedBytes > maximumUnrelatedBytes) {
+                pending.result.detail = "received an unlimited response to another request";
+                pending.isInvalid = true;
+                co_return false;
+            }
+        }
         if (!pending.isForOtherRequest) {
-            // From here on the deadline no longer applies, only the limit on stalls of the two connections.
-            this->armWatchdog(Clock::now() + maximumStall);
+            // Responses that have begun are delivered also after the deadline, unless they stall or never end.
+            this->armWatchdog(std::min<TimePoint>(Clock::now() + maximumStall, pending.streamingDeadline));
             if (!pending.result.wasStreamed) {
                 pending.result.wasStreamed = true;
                 const auto length = parser.content_length();
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -23,6 +23,7 @@
     bool closes = false; ///< Closes the connection after the bytes.
     bool resets = false; ///< Resets the connection after the bytes.
     bool isHeld = false; ///< Sends nothing until release().
+    std::string repeated {}; ///< Sent again and again after the bytes, until the peer closes the connection.
 };
 
 /// A backend server that responds by a script and records the requests. One request at a time per connection.
@@ -40,6 +41,18 @@
     std::vector<std::string> requests;
     unsigned closedByPeer = 0;
 
+    /// Resets all connections.
+    void reset()
+    {
+        beast::error_code ignored;
+        for (auto& connection : this->connections) {
+            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            connection->socket.close(ignored);
+        }
+    }
+
+    std::size_t repeatedBytes = 0; ///< Sent by endless responses.
+
     void release()
     {
         for (auto& connection : this->connections) {
@@ -106,6 +119,18 @@
             connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
         if (connection->response.resets || connection->response.closes)
             connection->socket.close(ignored);
+        if (!connection->response.repeated.empty())
+            this->repeat(connection);
+    }
+
+    void repeat(const ConnectionPointer& connection)
+    {
+        asio::async_write(connection->socket, asio::buffer(connection->response.repeated),
+            [this, connection](beast::error_code error, std::size_t bytes) {
+                this->repeatedBytes += bytes;
+                if (!error)
+                    this->repeat(connection);
+            });
     }
 
     tcp::acceptor acceptor;
@@ -180,7 +205,11 @@
         brief.name = "brief";
         brief.pathPrefix = "/brief/";
         brief.timeout = milliseconds(300);
-        configuration->routes = { safe, once, brief };
+        Route file = safe;
+        file.name = "file";
+        file.pathPrefix = "/file/";
+        file.kind = RouteKind::Download;
+        configuration->routes = { safe, once, brief, file };
         Service service;
         service.name = "stock";
         service.coldTime = seconds(3);
@@ -391,6 +420,39 @@
             CHECK(text.find("Content-Length: 4\r\n") != std::string::npos);
     }
 
+    SECTION("never gets a second copy of an earlier response that arrives while the connection is idle or in use again")
+    {
+        // The copy has the length of the response that is due, so only its id or its arrival tells them apart.
+        std::string secondCopy;
+        bool isSplit = false;
+        SECTION("at once, behind the first copy") { secondCopy = responseBytes("r1", "first"); }
+        SECTION("with the next response, in one piece") { isSplit = true; }
+        fixture.first.script = [&](const std::string& request) {
+            const std::string id = idOf(request);
+            if (id == "r1")
+                return ScriptedResponse { responseBytes(id, "first") + secondCopy };
+            return ScriptedResponse { (isSplit ? responseBytes("r1", "first") : std::string())
+                + responseBytes(id, "later") };
+        };
+        fixture.exchange(requestBytes("r1", "/safe/1"), "first");
+        const std::string text = fixture.exchange(requestBytes("r2", "/safe/2"), "later");
+        CHECK(text.find("later") != std::string::npos);
+        CHECK(text.find("first") == std::string::npos);
+        CHECK(text.find("X-Id: r2") != std::string::npos);
+    }
+
+    SECTION("is not rejected as not run by a second copy of an earlier rejection that names no request")
+    {
+        const std::string rejection = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        fixture.first.script = [&](const std::string& request) {
+            return idOf(request) == "r1" ? ScriptedResponse { rejection }
+                                         : ScriptedResponse { rejection + responseBytes(idOf(request), "own") };
+        };
+        fixture.exchange(requestBytes("r1", "/once/1", "POST"), "HTTP/1.1 503");
+        // The connection of the first request is closed, so its late copy cannot reach the second request.
+        fixture.runUntil([&] { return fixture.first.closedByPeer == 1; });
+    }
+
     SECTION("gets 504 after its route's timeout, and the connection to the server is closed")
     {
         fixture.first.script = [](const std::string&) { return ScriptedResponse { .bytes = "", .isHeld = true }; };
@@ -435,6 +497,183 @@
     }
 }
 
+TEST_CASE("Downloads")
+{
+    Fixture fixture;
+    const std::string large(3 * ServerConnection::maximumBufferedBytes, 'd');
+
+    SECTION("are streamed whole, with a length or without")
+    {
+        std::string bytes;
+        SECTION("length") { bytes = large; }
+        SECTION("chunks") { bytes.clear(); }
+        fixture.first.script = [&](const std::string& request) {
+            if (!bytes.empty())
+                return ScriptedResponse { responseBytes(idOf(request), bytes) };
+            return ScriptedResponse { "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request)
+                + "\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt::format("{:x}", large.size()) + "\r\n"
+                + large + "\r\n0\r\n\r\n" };
+        };
+        const auto socket = fixture.open(requestBytes("r1", "/file/1"));
+        const std::string text = fixture.receive(socket, bytes.empty() ? "\r\n0\r\n\r\n" : large);
+        CHECK(std::count(text.begin(), text.end(), 'd') >= static_cast<std::ptrdiff_t>(large.size()));
+    }
+
+    SECTION("that are cut midway never look complete, and are not started again")
+    {
+        bool resets = false;
+        bool isChunked = false;
+        SECTION("closed before the length is reached") { }
+        SECTION("reset before the length is reached") { resets = true; }
+        SECTION("closed before the last chunk") { isChunked = true; }
+        SECTION("reset before the last chunk")
+        {
+            resets = true;
+            isChunked = true;
+        }
+        fixture.addServer("s2", fixture.second.port());
+        const auto cut = [&](const std::string& request) {
+            const std::string framing = isChunked
+                ? "Transfer-Encoding: chunked\r\n\r\n" + fmt::format("{:x}", large.size()) + "\r\n"
+                : "Content-Length: " + std::to_string(large.size() + 1) + "\r\n\r\n";
+            return ScriptedResponse { .bytes
+                = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request) + "\r\nX-Seal: s\r\n" + framing + large,
+                .closes = !resets };
+        };
+        fixture.first.script = cut;
+        fixture.second.script = cut;
+        const auto socket = fixture.open(requestBytes("r1", "/file/1"));
+        if (resets) {
+            fixture.runUntil([&] { return socket->available() > 0; });
+            fixture.first.reset();
+            fixture.second.reset();
+        }
+        const std::string text = fixture.receive(socket, "never sent");
+        CHECK(text.find("\r\n0\r\n\r\n") == std::string::npos);
+        CHECK(text.size() < large.size() + 1000);
+        CHECK(fixture.first.requests.size() + fixture.second.requests.size() == 1);
+    }
+
+    SECTION("that fail before anything was delivered are retried on another server")
+    {
+        unsigned sent = 0;
+        fixture.addServer("s2", fixture.second.port());
+        const auto respond = [&](const std::string& request) {
+            std::string bytes = responseBytes(idOf(request), "whole");
+            const bool isFirst = ++sent == 1;
+            return ScriptedResponse { .bytes = isFirst ? bytes.substr(0, bytes.size() - 1) : bytes, .closes = isFirst };
+        };
+        fixture.first.script = respond;
+        fixture.second.script = respond;
+        CHECK(fixture.exchange(requestBytes("r1", "/file/1"), "whole").starts_with("HTTP/1.1 200"));
+        CHECK(sent == 2);
+    }
+
+    SECTION("to a caller that stops reading end after the write timeout, and free the server")
+    {
+        fixture.sessions->writeTimeout = milliseconds(200);
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { .bytes
+                = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request) + "\r\nX-Seal: s\r\nContent-Length: 100000000\r\n\r\n",
+                .repeated = std::string(65536, 'd') };
+        };
+        const auto socket = fixture.open(requestBytes("r1", "/file/1"));
+        fixture.runUntil([&] { return fixture.first.closedByPeer == 1; });
+        CHECK(fixture.first.repeatedBytes < 100'000'000);
+        CHECK(fixture.sessions->inProgress == 0);
+    }
+}
+
+TEST_CASE("Bytes without end from a caller are rejected within the limits")
+{
+    Fixture fixture;
+    std::string begin;
+    std::string repeated;
+    const std::string head = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\n";
+    SECTION("in a header") { begin = head + "X-Noise: ", repeated = std::string(4096, 'n'); }
+    SECTION("in a chunk extension")
+    {
+        begin = head + "Transfer-Encoding: chunked\r\n\r\n5;";
+        repeated = std::string(4096, 'n');
+    }
+    SECTION("in trailer fields")
+    {
+        begin = head + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+        repeated = "X-Noise: n\r\n";
+    }
+    SECTION("in a body")
+    {
+        begin = head + "Transfer-Encoding: chunked\r\n\r\n";
+        repeated = "4\r\nbody\r\n";
+    }
+    const auto socket = fixture.open(begin);
+    std::size_t sentBytes = 0;
+    std::function<void()> sendMore = [&] {
+        asio::async_write(*socket, asio::buffer(repeated), [&](beast::error_code error, std::size_t bytes) {
+            sentBytes += bytes;
+            if (!error)
+                sendMore();
+        });
+    };
+    sendMore();
+    const std::string text = fixture.receive(socket, "HTTP/1.1 4");
+    CHECK(text.find("HTTP/1.1 4") != std::string::npos);
+    beast::error_code ignored;
+    socket->close(ignored);
+    fixture.context.run_for(milliseconds(20));
+    constexpr std::size_t boundedBytes = 16UL * 1024 * 1024;
+    CHECK(sentBytes < boundedBytes);
+    CHECK(fixture.first.requests.empty());
+}
+
+TEST_CASE("Bytes without end from a faulty server")
+{
+    // Such a server sends until its connection is closed. The caller gets an outcome that says that the request may
+    // have run, soon and not only at its deadline, and other requests are not affected.
+    Fixture fixture;
+    ScriptedResponse endless;
+    const std::string expectedStatus = "HTTP/1.1 502";
+
+    SECTION("in a header field")
+    {
+        endless = { .bytes = "HTTP/1.1 200 OK\r\nX-Noise: ", .repeated = std::string(4096, 'n') };
+    }
+    SECTION("in header fields") { endless = { .bytes = "HTTP/1.1 200 OK\r\n", .repeated = "X-Noise: n\r\n" }; }
+    SECTION("that are no HTTP") { endless = { .bytes = "", .repeated = std::string(4096, '\0') }; }
+    SECTION("in interim responses") { endless = { .bytes = "", .repeated = "HTTP/1.1 100 Continue\r\n\r\n" }; }
+    SECTION("in responses to another request") { endless = { .bytes = "", .repeated = responseBytes("r0", "other") }; }
+    SECTION("in the body of a response to another request")
+    {
+        endless = { .bytes = "HTTP/1.1 200 OK\r\nX-Id: r0\r\nX-Seal: s\r\n\r\n", .repeated = std::string(65536, 'n') };
+    }
+    SECTION("in the body of a success response without a seal")
+    {
+        endless = { .bytes = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n", .repeated = std::string(65536, 'n') };
+    }
+    SECTION("in chunk extensions")
+    {
+        endless = { .bytes = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+            .repeated = std::string(4096, 'n') };
+    }
+    SECTION("in trailer fields")
+    {
+        endless = { .bytes = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            .repeated = "X-Noise: n\r\n" };
+    }
+
+    fixture.first.script = [&](const std::string& request) {
+        return idOf(request) == "r1" ? endless : ScriptedResponse { responseBytes(idOf(request), "whole") };
+    };
+    const TimePoint start = Clock::now();
+    const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "HTTP/1.1 ");
+    CHECK(text.starts_with(expectedStatus));
+    CHECK(Clock::now() - start < seconds(2));
+    fixture.runUntil([&] { return fixture.first.closedByPeer >= 1; });
+    constexpr std::size_t boundedBytes = 16UL * 1024 * 1024;
+    CHECK(fixture.first.repeatedBytes < boundedBytes);
+    CHECK(fixture.exchange(requestBytes("r2", "/safe/2"), "whole").starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("Pipelined requests")
 {
     Fixture fixture;
