Relay the store's changes within zones; assume loads that no report tells; current lists before service

Change 1: updateAssumedLoads() lets a report give way to the mean of the recent reports of the region. Objects whose home server is full go to the same few other servers (rendezvous cost 1.0 instead of 0.3).

Cause 2: each instance watched all kinds of the store for itself; calls were the largest price of the large sites. Change 2: StoreRelay, RelayedSource, ChangeLog: one watcher in each zone of three or more, the others ask it and fall back to the store when it is dead, slow or has lost the store. Tests: tst_storerelay plays each of these against the time bound.

Cause 3: the first list may be stale and was used at once, so after a restart a server that had left could be used again. Test in tst_kindwatcher.

Cause 4: a heartbeat dropped all requests in flight when they did not fit. Change 4: the most loaded servers are kept.

--- a/src/libs/forwarding/backendserver.cpp
+++ b/src/libs/forwarding/backendserver.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
+#include <string_view>
 
 namespace clementinefall::forwarding {
 
@@ -41,19 +43,49 @@
     return !server.isRemoved && !server.isEvacuated && server.entry.state == ServerState::Ready;
 }
 
+namespace {
+
+unsigned reportedOtherLoad(const LoadReport& report)
+{
+    const unsigned total = report.running + report.waiting;
+    return total > report.localInFlight ? total - report.localInFlight : 0;
+}
+
+} // namespace
+
 double outstandingRequests(const BackendServer& server, TimePoint now)
 {
     unsigned others = 0;
     for (const auto& [name, count] : server.neighbourInFlight)
         others += count;
     const Duration age = now - server.report.at;
+    double expected = server.assumedOtherLoad;
     if (age < reportLifetime) {
-        const unsigned total = server.report.running + server.report.waiting;
-        const unsigned reported = total > server.report.localInFlight ? total - server.report.localInFlight : 0;
         const double weight = 1.0 - std::chrono::duration<double>(age) / std::chrono::duration<double>(reportLifetime);
-        return server.inFlight + std::max<double>(others, reported * weight);
+        expected = weight * reportedOtherLoad(server.report) + (1.0 - weight) * server.assumedOtherLoad;
+    }
+    return server.inFlight + std::max<double>(others, expected);
+}
+
+void updateAssumedLoads(std::span<const std::shared_ptr<BackendServer>> servers, TimePoint now)
+{
+    struct RegionLoad {
+        double requests = 0;
+        double slots = 0;
+    };
+    std::map<std::string_view, RegionLoad> regions;
+    for (const auto& server : servers) {
+        if (!isUsable(*server) || now - server->report.at >= reportLifetime)
+            continue;
+        RegionLoad& region = regions[server->region];
+        region.requests += reportedOtherLoad(server->report);
+        region.slots += server->entry.slots;
+    }
+    for (const auto& server : servers) {
+        const auto region = regions.find(server->region);
+        const bool isKnown = region != regions.end() && region->second.slots > 0;
+        server->assumedOtherLoad = isKnown ? region->second.requests / region->second.slots * server->entry.slots : 0.0;
     }
-    return server.inFlight + others;
 }
 
 void recordConnect(BackendServer& server, bool succeeded, Duration duration, TimePoint now)
--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -4,6 +4,8 @@
 #include "base/settings.h"
 
 #include <cstdint>
+#include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -66,6 +68,8 @@
     unsigned inFlight = 0; ///< Requests of this instance.
     LoadReport report;
     std::unordered_map<std::string, unsigned> neighbourInFlight; ///< By entry instance of the same zone.
+    /// Requests of other instances that are assumed without a recent report; see updateAssumedLoads().
+    double assumedOtherLoad = 0.0;
     CachedObjects cachedObjects;
 
     double slowdown = 1.0; ///< Moving average of measured over expected processing time.
@@ -86,10 +90,15 @@
 inline bool isCold(const BackendServer& server, TimePoint now) { return now < server.coldUntil; }
 
 /// Estimated number of requests at the server: those of this instance, and those of the other ones by the server's last
-/// report, whose weight decreases with its age, or by the heartbeats of the instances of the same zone if these report
-/// more.
+/// report, which gives way to the assumed load as it ages, or by the heartbeats of the instances of the same zone if
+/// these report more.
 double outstandingRequests(const BackendServer& server, TimePoint now);
 
+/// Sets the assumed load of the servers of one service to the mean of the recent reports in their region, relative to
+/// their slots. An instance of a large fleet hears from each server only rarely. Without the assumption, all instances
+/// take the servers that they have not heard from for idle, and fill their queues together during an overload.
+void updateAssumedLoads(std::span<const std::shared_ptr<BackendServer>> servers, TimePoint now);
+
 /// Records the result of a connect. Consecutive failures exclude the server for a backoff that doubles up to 2 s.
 void recordConnect(BackendServer& server, bool succeeded, Duration duration, TimePoint now);
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -776,6 +776,7 @@
 {
     const Duration elapsed = this->lastTick == TimePoint {} ? Duration {} : now - this->lastTick;
     for (const auto& [name, service] : this->currentConfiguration->services) {
+        updateAssumedLoads(this->catalog->serversOf(name), now);
         double localLoad = 0;
         std::map<std::string, RegionCapacity> regions;
         for (const auto& [region, live] : this->instancesByRegion)
--- a/src/libs/forwarding/heartbeat.cpp
+++ b/src/libs/forwarding/heartbeat.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace clementinefall::forwarding {
 
@@ -51,6 +53,27 @@
     return mark;
 }
 
+/// The servers with the most requests in flight, as many as fit in \a maximumBytes of JSON.
+json::object mostLoaded(const std::map<std::string, unsigned>& inFlight, std::size_t maximumBytes)
+{
+    std::vector<std::pair<unsigned, std::string_view>> servers;
+    servers.reserve(inFlight.size());
+    for (const auto& [server, count] : inFlight)
+        servers.emplace_back(count, server);
+    std::sort(servers.begin(), servers.end(), std::greater<>());
+    constexpr std::string_view envelope = R"(,"in_flight":{})";
+    constexpr std::size_t punctuationBytes = 4; // Two quotes, a colon and a comma.
+    std::size_t bytes = envelope.size();
+    json::object result;
+    for (const auto& [count, server] : servers) {
+        bytes += server.size() + std::to_string(count).size() + punctuationBytes;
+        if (bytes > maximumBytes)
+            break;
+        result[server] = count;
+    }
+    return result;
+}
+
 } // namespace
 
 std::string encodeHeartbeat(const Heartbeat& heartbeat, TimePoint now)
@@ -79,12 +102,8 @@
             utilizations[service] = std::round(utilization * utilizationPrecision) / utilizationPrecision;
         addIfFits("use", std::move(utilizations));
     }
-    if (!heartbeat.inFlight.empty()) {
-        json::object requestCounts;
-        for (const auto& [server, count] : heartbeat.inFlight)
-            requestCounts[server] = count;
-        addIfFits("in_flight", std::move(requestCounts));
-    }
+    if (!heartbeat.inFlight.empty())
+        addIfFits("in_flight", mostLoaded(heartbeat.inFlight, maximumHeartbeatBytes - text.size()));
     return text;
 }
 
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -73,6 +73,17 @@
     return result;
 }
 
+std::vector<InstanceInfo> InstanceTable::liveInZone(TimePoint now) const
+{
+    std::vector<InstanceInfo> result;
+    for (const auto& [name, entry] : this->registered) {
+        const bool isSameZone = entry.info.zone == this->localInfo.zone;
+        if (isSameZone && entry.state != InstanceState::Stopping && this->isLive(entry, now))
+            result.push_back(entry.info);
+    }
+    return result;
+}
+
 std::size_t InstanceTable::liveCountInZone(TimePoint now) const
 {
     const auto count = std::count_if(this->registered.begin(), this->registered.end(), [&](const auto& entry) {
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -48,6 +48,8 @@
     /// Empty for an instance that is not registered.
     std::string regionOf(const std::string& name) const;
 
+    /// The other instances of the local zone that are live and not stopping.
+    std::vector<InstanceInfo> liveInZone(TimePoint now) const;
     /// Names of the live instances of the local region, including this one.
     std::vector<std::string> liveInRegion(TimePoint now) const;
     std::size_t liveCountInZone(TimePoint now) const;
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -20,9 +20,9 @@
 /// Weight of samples above the estimate relative to those below it.
 constexpr double aboveEstimateWeight = 0.4;
 
-/// Maximum cost, as a fraction of the processing time, that the hash of server and object adds. It breaks ties between
-/// otherwise equal servers in the same way on all instances, so that they send a new object to the same server.
-constexpr double rendezvousCostFraction = 0.3;
+/// Maximum cost, as a fraction of the processing time, that the hash of server and object adds. All instances prefer
+/// the same few servers for an object that its home server cannot take, so that these soon have it cached.
+constexpr double rendezvousCostFraction = 1.0;
 
 /// Cost of a fully used server as a fraction of the processing time: prefers emptier servers, which respond a little
 /// faster.
--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -130,7 +130,16 @@
     {
         for (int i = 0; i < 500; ++i)
             heartbeat.inFlight["server-" + std::to_string(i)] = 1;
-        CHECK(encodeHeartbeat(heartbeat, start).size() <= maximumHeartbeatBytes);
+        const std::string text = encodeHeartbeat(heartbeat, start);
+        CHECK(text.size() <= maximumHeartbeatBytes);
+
+        SECTION("and keeps the most loaded servers instead of dropping all of them")
+        {
+            const Result<Heartbeat> read = decodeHeartbeat(text, start);
+            REQUIRE(isOk(read));
+            CHECK(valueOf(read).inFlight.size() > 20);
+            CHECK(valueOf(read).inFlight.at("s1") == 3);
+        }
     }
 
     SECTION("malformed heartbeats are reported as errors")
--- a/src/libs/forwarding/tst_placement.cpp
+++ b/src/libs/forwarding/tst_placement.cpp
@@ -242,6 +242,34 @@
         CHECK(outstandingRequests(server, now) == Approx(5));
     }
 
+    SECTION("a server without a recent report is assumed as loaded as the others of its region")
+    {
+        std::vector<std::shared_ptr<BackendServer>> servers;
+        for (const char* id : { "heard-1", "heard-2", "silent", "elsewhere", "draining" }) {
+            servers.push_back(std::make_shared<BackendServer>(serverOf(id, 4)));
+            servers.back()->region = "north";
+        }
+        servers[0]->report = { .running = 4, .waiting = 6, .localInFlight = 0, .at = now };
+        servers[1]->report = { .running = 4, .waiting = 4, .localInFlight = 2, .at = now };
+        servers[2]->entry.slots = 8;
+        servers[2]->inFlight = 1;
+        servers[3]->region = "south";
+        servers[4]->entry.state = ServerState::Draining;
+        servers[4]->report = { .running = 0, .waiting = 0, .localInFlight = 0, .at = now };
+        updateAssumedLoads(servers, now);
+        CHECK(outstandingRequests(*servers[2], now) == Approx(1 + 8 * 2.0));
+        CHECK(outstandingRequests(*servers[3], now) == Approx(0));
+        // An own report counts at first, and gives way to the assumption.
+        CHECK(outstandingRequests(*servers[0], now) == Approx(10));
+        CHECK(outstandingRequests(*servers[0], now + seconds(3)) == Approx(8));
+
+        SECTION("until no server has reported for a while")
+        {
+            updateAssumedLoads(servers, now + seconds(3));
+            CHECK(outstandingRequests(*servers[2], now + seconds(3)) == Approx(1));
+        }
+    }
+
     SECTION("failed connects cause a backoff that doubles up to two seconds")
     {
         Duration last {};
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -11,6 +11,13 @@
 
 namespace clementinefall::platform {
 
+namespace {
+
+/// Long-poll time of the first watch, which only reads the changes since a list that may be stale.
+constexpr milliseconds catchUpWait { 1 };
+
+} // namespace
+
 KindWatcher::KindWatcher(asio::any_io_executor watcherExecutor, std::shared_ptr<ObjectSource> objectSource,
     std::string objectKind, WatchOptions watchOptions)
     : executor(std::move(watcherExecutor))
@@ -58,6 +65,15 @@
         this->onCall(true);
 }
 
+void KindWatcher::recordCaughtUp()
+{
+    if (std::exchange(this->hasCaughtUp, true))
+        return;
+    logInfo("store_caught_up", { { "kind", this->kind }, { "revision", this->revision } });
+    if (this->onCaughtUp)
+        this->onCaughtUp();
+}
+
 Awaitable<bool> KindWatcher::listOnce()
 {
     // The first list may be stale, as the changes since its revision are read at once. A later stale list could bring
@@ -78,14 +94,17 @@
     this->hasListed = true;
     this->hadOutage = false;
     this->mustWatchAtOnce = isFirst;
+    if (freshness == Freshness::Latest)
+        this->recordCaughtUp();
     co_return true;
 }
 
 Awaitable<bool> KindWatcher::watchOnce()
 {
     const TimePoint start = Clock::now();
+    const milliseconds wait = this->hasCaughtUp ? this->options.wait : catchUpWait;
     const Result<ChangeSet> result
-        = co_await this->source->changes(this->kind, this->revision, this->options.wait, this->options.freshness);
+        = co_await this->source->changes(this->kind, this->revision, wait, this->options.freshness);
     if (!isOk(result)) {
         this->needsList = true;
         if (errorOf(result).code == ResultCode::PlatformHistoryLost) {
@@ -108,6 +127,7 @@
     this->revision = std::max(this->revision, changes.revision);
     if (!changes.changes.empty() && this->onChanges)
         this->onChanges(changes);
+    this->recordCaughtUp();
     co_return true;
 }
 
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -75,6 +75,9 @@
     /// Called with the complete set; \a afterOutage is true when the store was unreachable since the previous call.
     std::function<void(const ObjectSet&, bool afterOutage)> onList;
     std::function<void(const ChangeSet&)> onChanges;
+    /// Called once, when the objects are known to be current: after the changes since the first list, which may be
+    /// stale, were read. Until then, an object that was removed before this process started may still be in the set.
+    std::function<void()> onCaughtUp;
     /// Called after each call to the store with whether it succeeded; not called after PlatformHistoryLost.
     std::function<void(bool)> onCall;
 
@@ -91,6 +94,7 @@
     Awaitable<bool> watchOnce();
     void recordFailure(const Error& error);
     void recordSuccess();
+    void recordCaughtUp();
 
     asio::any_io_executor executor;
     std::shared_ptr<ObjectSource> source;
@@ -102,6 +106,7 @@
     unsigned failures = 0;
     bool needsList = true;
     bool hasListed = false;
+    bool hasCaughtUp = false;
     bool mustWatchAtOnce = false; ///< The list may be stale; changes since its revision are read without a delay.
     bool hadOutage = false; ///< Since the last list.
     bool isStopped = false;
--- /dev/null
+++ b/src/libs/platform/storerelay.cpp
@@ -0,0 +1,277 @@
+#include "platform/storerelay.h"
+
+#include "base/durations.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "http/target.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace clementinefall::platform {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Fractions of the bound for changes, see RelayTiming. The pause between two calls is a quarter of the bound.
+constexpr double watcherWaitFraction = 0.15;
+constexpr double followerWaitFraction = 0.2;
+constexpr double responseAllowanceFraction = 0.12;
+constexpr double freshnessFraction = 0.5;
+
+/// Interval at which an instance that has just started checks whether it knows the instances of its zone.
+constexpr milliseconds startCheckInterval { 100 };
+
+/// Rate of the calls to one watcher. Calls beyond it come from an error and not from changes.
+constexpr double watcherCallsPerSecond = 50;
+constexpr double watcherBurstCalls = 100;
+
+constexpr std::string_view pathPrefix = "/changes/";
+
+std::uint64_t numberOf(const std::string& text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+http::Response textResponse(unsigned status, std::string_view text)
+{
+    http::Response response { static_cast<beast::http::status>(status), 11 };
+    response.body() = text;
+    return response;
+}
+
+std::string encodeChanges(const LoggedChanges& changes, Duration age)
+{
+    return fmt::format(R"({{"revision":{},"age_ms":{},"changes":[{}]}})", changes.revision,
+        std::chrono::duration_cast<milliseconds>(age).count(), fmt::join(changes.changes, ","));
+}
+
+} // namespace
+
+RelayAssignment assignRelay(std::string_view zone, const std::string& self, std::vector<std::string> instances)
+{
+    RelayAssignment result;
+    if (instances.size() <= maximumInstancesWithoutRelay) {
+        result.role = RelayRole::Alone;
+        return result;
+    }
+    const std::uint64_t seed = hash64(zone);
+    std::sort(instances.begin(), instances.end(), [seed](const std::string& left, const std::string& right) {
+        return std::pair(hash64(left, seed), left) < std::pair(hash64(right, seed), right);
+    });
+    result.role = instances[0] == self ? RelayRole::Watcher : RelayRole::Follower;
+    for (std::size_t i = 0; i < 2 && instances[i] != self; ++i)
+        result.watcherNames.push_back(instances[i]);
+    return result;
+}
+
+RelayTiming relayTiming(Duration changeBound)
+{
+    RelayTiming timing;
+    timing.watcherWait = scaled(changeBound, watcherWaitFraction);
+    timing.followerWait = scaled(changeBound, followerWaitFraction);
+    timing.responseAllowance = scaled(changeBound, responseAllowanceFraction);
+    timing.freshness = scaled(changeBound, freshnessFraction);
+    return timing;
+}
+
+StoreRelay::StoreRelay(asio::any_io_executor relayExecutor, std::string kind, RelayTiming relayTiming)
+    : executor(std::move(relayExecutor))
+    , leadingKind(std::move(kind))
+    , timing(relayTiming)
+{
+}
+
+void StoreRelay::restart(const std::string& kind, std::uint64_t revision, bool afterOutage)
+{
+    restartChangeLog(this->kinds[kind].log, revision, afterOutage);
+    this->wake();
+}
+
+void StoreRelay::append(const std::string& kind, const ChangeSet& changes)
+{
+    appendChanges(this->kinds[kind].log, changes);
+    this->wake();
+}
+
+void StoreRelay::setInSync(const std::string& kind, bool isInSync)
+{
+    this->kinds[kind].isInSync = isInSync;
+    if (!isInSync)
+        this->wake();
+}
+
+void StoreRelay::recordContact(std::string_view kind, TimePoint at)
+{
+    if (kind == this->leadingKind)
+        this->contactAt = std::max(this->contactAt, at);
+}
+
+void StoreRelay::wake()
+{
+    for (const auto& weak : std::exchange(this->waiting, {})) {
+        if (const auto timer = weak.lock())
+            timer->cancel();
+    }
+}
+
+bool StoreRelay::isFresh(const Kind& kind) const
+{
+    return kind.isInSync && kind.log.revision > 0 && Clock::now() - this->contactAt < this->timing.freshness;
+}
+
+http::Response StoreRelay::response(const Kind& kind, std::uint64_t revision) const
+{
+    if (!this->isFresh(kind))
+        return textResponse(503, "not in sync with the store");
+    const std::optional<LoggedChanges> changes = changesAfter(kind.log, revision);
+    if (changes)
+        return http::jsonResponse(200, encodeChanges(*changes, Clock::now() - this->contactAt));
+    // Objects that are missing after an outage may still come back, which a follower must be told.
+    return kind.log.restartedAfterOutage ? textResponse(503, "the changes were lost in an outage of the store")
+                                         : textResponse(410, "the changes are no longer known");
+}
+
+Awaitable<void> StoreRelay::handle(std::shared_ptr<http::Exchange> exchange)
+{
+    const auto self = this->shared_from_this();
+    const auto target = http::parseTarget(std::string_view(exchange->header().target()));
+    if (!target || !target->path.starts_with(pathPrefix)) {
+        co_await exchange->respond(textResponse(404, "unknown path"));
+        co_return;
+    }
+    const std::string name(std::string_view(target->path).substr(pathPrefix.size()));
+    const std::uint64_t revision = numberOf(target->parameter("after"));
+    const Duration wait
+        = std::min<Duration>(milliseconds(numberOf(target->parameter("wait_ms"))), this->timing.followerWait);
+    const TimePoint until = Clock::now() + wait;
+    while (Clock::now() < until) {
+        const Kind& kind = this->kinds[name];
+        if (!this->isFresh(kind) || kind.log.revision > revision || kind.log.floor > revision)
+            break;
+        // Not longer than this instance stays fresh, so that its followers learn in time that it has lost the store.
+        auto timer = std::make_shared<asio::steady_timer>(
+            this->executor, std::min<TimePoint>(until, this->contactAt + this->timing.freshness));
+        this->waiting.push_back(timer);
+        co_await timer->async_wait(useTuple);
+    }
+    http::Response response = this->response(this->kinds[name], revision);
+    co_await exchange->respond(std::move(response));
+}
+
+RelayedSource::RelayedSource(asio::any_io_executor sourceExecutor, std::shared_ptr<ObjectSource> objectStore,
+    std::shared_ptr<StoreRelay> storeRelay, RelayTiming relayTiming)
+    : executor(std::move(sourceExecutor))
+    , store(std::move(objectStore))
+    , relay(std::move(storeRelay))
+    , timing(relayTiming)
+    , startedAt(Clock::now())
+{
+}
+
+Awaitable<Result<ObjectSet>> RelayedSource::list(std::string kind, Freshness freshness)
+{
+    return this->store->list(std::move(kind), freshness);
+}
+
+RelayedSource::Watcher* RelayedSource::selectWatcher(const std::vector<HostPort>& addresses, TimePoint now)
+{
+    for (const HostPort& address : addresses) {
+        Watcher& watcher = this->watchers[address.text()];
+        if (!watcher.transport) {
+            watcher.transport = std::make_shared<Transport>(
+                this->executor, TransportSettings { address, watcherCallsPerSecond, watcherBurstCalls });
+        }
+        if (now >= watcher.backoffUntil)
+            return &watcher;
+    }
+    return nullptr;
+}
+
+Awaitable<Result<ChangeSet>> RelayedSource::changes(
+    std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness)
+{
+    const auto self = this->shared_from_this();
+    RelayAssignment assigned = this->assignment();
+    while (assigned.role == RelayRole::Unknown && Clock::now() - this->startedAt < this->timing.startDelay) {
+        asio::steady_timer timer(this->executor, startCheckInterval);
+        co_await timer.async_wait(useTuple);
+        assigned = this->assignment();
+    }
+    if (assigned.role != RelayRole::Follower) {
+        const bool hasFollowers = assigned.role == RelayRole::Watcher;
+        const milliseconds watcherWait = std::chrono::duration_cast<milliseconds>(this->timing.watcherWait);
+        co_return co_await this->askStore(kind, revision, hasFollowers ? std::min(wait, watcherWait) : wait, freshness);
+    }
+    Watcher* watcher = this->selectWatcher(assigned.watchers, Clock::now());
+    bool isOutage = false;
+    if (watcher != nullptr) {
+        const std::shared_ptr<Transport> transport = watcher->transport;
+        const Result<RelayedChanges> relayed = co_await this->askWatcher(transport, kind, revision);
+        const bool isUsed = isOk(relayed) && valueOf(relayed).age < this->timing.freshness;
+        if (this->onWatcherCall)
+            this->onWatcherCall(isUsed);
+        if (isUsed) {
+            this->relay->recordContact(kind, Clock::now() - valueOf(relayed).age);
+            co_return valueOf(relayed).changes;
+        }
+        if (!isOk(relayed) && errorOf(relayed).code == ResultCode::PlatformHistoryLost)
+            co_return errorOf(relayed);
+        isOutage = isOk(relayed) || errorOf(relayed).code == ResultCode::PlatformBadAnswer;
+        if (!isOutage) {
+            logInfo("watcher_lost", { { "kind", kind }, { "why", errorOf(relayed).text() } });
+            watcher->backoffUntil = Clock::now() + this->timing.watcherBackoff;
+        }
+    }
+    if (isOutage && Clock::now() - this->storeFailedAt < this->timing.outageRetryDelay)
+        co_return makeError(ResultCode::PlatformUnreachable, "neither this instance nor its watcher reaches the store");
+    const milliseconds followerWait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
+    co_return co_await this->askStore(kind, revision, std::min(wait, followerWait), freshness);
+}
+
+Awaitable<Result<ChangeSet>> RelayedSource::askStore(
+    std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness)
+{
+    const Result<ChangeSet> result = co_await this->store->changes(kind, revision, wait, freshness);
+    const TimePoint now = Clock::now();
+    if (isOk(result) && freshness == Freshness::Latest)
+        this->relay->recordContact(kind, now);
+    else if (!isOk(result) && errorOf(result).code != ResultCode::PlatformHistoryLost)
+        this->storeFailedAt = now;
+    co_return result;
+}
+
+Awaitable<Result<RelayedSource::RelayedChanges>> RelayedSource::askWatcher(
+    std::shared_ptr<Transport> transport, std::string kind, std::uint64_t revision)
+{
+    const milliseconds wait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
+    const milliseconds allowance = std::chrono::duration_cast<milliseconds>(this->timing.responseAllowance);
+    const std::string target = fmt::format("{}{}?after={}&wait_ms={}", pathPrefix, kind, revision, wait.count());
+    http::Request request { http::Verb::get, target, 11 };
+    const Result<http::Response> response = co_await transport->call(std::move(request), wait + allowance);
+    if (!isOk(response))
+        co_return errorOf(response);
+    const unsigned status = valueOf(response).result_int();
+    if (status == 410)
+        co_return makeError(ResultCode::PlatformHistoryLost, "the watcher no longer knows the changes");
+    if (status != 200)
+        co_return makeError(ResultCode::PlatformBadAnswer, "watcher: {}", valueOf(response).body());
+    try {
+        const json::value document = json::parse(valueOf(response).body());
+        RelayedChanges result;
+        result.age = milliseconds(document.at("age_ms").to_number<std::uint32_t>());
+        result.changes.revision = document.at("revision").to_number<std::uint64_t>();
+        for (const json::value& change : document.at("changes").as_array())
+            result.changes.changes.push_back(decodeChange(change));
+        co_return result;
+    } catch (const std::exception& error) {
+        co_return makeError(ResultCode::PlatformUnreachable, "malformed changes of a watcher: {}", error.what());
+    }
+}
+
+} // namespace clementinefall::platform
--- /dev/null
+++ b/src/libs/platform/storerelay.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "http/exchange.h"
+#include "platform/changelog.h"
+#include "platform/transport.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Relay of the store's changes within an availability zone. One instance of each zone, the watcher, watches the store
+/// for all; the others, the followers, ask it. The calls to the store then grow with the number of zones and not with
+/// the number of instances. A follower whose watcher is dead, slow or cut off from the store asks the store itself,
+/// soon enough to meet the bound for drained backend servers.
+namespace clementinefall::platform {
+
+/// What an instance does to follow the store.
+enum class RelayRole : std::uint8_t {
+    Unknown, ///< The instances of the zone are not known yet.
+    Alone, ///< Watches the store and has no followers.
+    Watcher, ///< Watches the store for its followers too.
+    Follower, ///< Asks the watcher, the first instance in the order of the zone, or the second one if that fails.
+};
+
+struct RelayAssignment {
+    RelayRole role = RelayRole::Unknown;
+    std::vector<std::string> watcherNames; ///< Instances that a follower asks, in the order of preference.
+    std::vector<HostPort> watchers; ///< Their addresses.
+};
+
+/// A zone of up to this many instances has no relay: the shorter calls of a watcher would cost more than they save.
+inline constexpr std::size_t maximumInstancesWithoutRelay = 2;
+
+/// The part of the instance \a self in its zone, whose instances are ordered by rendezvous hashing. Instances that know
+/// the same members make the same choice. The second instance is a follower that the others can ask: once the watcher
+/// fails, it asks the store itself. \a instances includes \a self. Leaves `watchers` empty.
+RelayAssignment assignRelay(std::string_view zone, const std::string& self, std::vector<std::string> instances);
+
+/// Times of the relay, derived from the bound within which an instance must know of a change. They add up to less than
+/// the bound also when a watcher loses the store just before the change: `freshness`, the pause of the follower between
+/// two calls, and one call to the store.
+struct RelayTiming {
+    Duration watcherWait {}; ///< Long-poll time of a watcher's calls to the store, while it has followers.
+    Duration followerWait {}; ///< Long-poll time of a follower's calls to a watcher.
+    Duration responseAllowance {}; ///< Of a watcher, beyond `followerWait`.
+    Duration freshness {}; ///< Age of a watcher's knowledge from which it is no longer used.
+    Duration startDelay = milliseconds(3500); ///< Time to learn the instances of the zone after the start.
+    Duration watcherBackoff = seconds(2); ///< After a failed call to a watcher.
+    /// Between two calls of a follower to a store that its watcher cannot reach either.
+    Duration outageRetryDelay = milliseconds(1500);
+};
+
+RelayTiming relayTiming(Duration changeBound);
+
+/// The changes that this instance knows, served to its followers.
+class StoreRelay : public std::enable_shared_from_this<StoreRelay> {
+public:
+    /// \a leadingKind is the kind that is watched with short calls. An instance counts as in contact with the store as
+    /// long as these succeed; calls for the other kinds may wait much longer.
+    StoreRelay(asio::any_io_executor relayExecutor, std::string leadingKind, RelayTiming relayTiming);
+
+    void restart(const std::string& kind, std::uint64_t revision, bool afterOutage);
+    void append(const std::string& kind, const ChangeSet& changes);
+    /// Whether the last call for \a kind succeeded.
+    void setInSync(const std::string& kind, bool isInSync);
+    /// Records that this instance knew the objects of \a kind as of \a at. Only the leading kind counts.
+    void recordContact(std::string_view kind, TimePoint at);
+    TimePoint lastContact() const { return this->contactAt; }
+
+    /// Handles `GET /changes/KIND?after=REVISION&wait_ms=N`. Status 200 with the changes, 410 when they are no longer
+    /// known, 503 when this instance is not in sync with the store.
+    Awaitable<void> handle(std::shared_ptr<http::Exchange> exchange);
+
+private:
+    struct Kind {
+        ChangeLog log;
+        bool isInSync = false;
+    };
+    http::Response response(const Kind& kind, std::uint64_t revision) const;
+    bool isFresh(const Kind& kind) const;
+    void wake();
+
+    asio::any_io_executor executor;
+    std::string leadingKind;
+    RelayTiming timing;
+    std::map<std::string, Kind, std::less<>> kinds;
+    TimePoint contactAt {};
+    std::vector<std::weak_ptr<asio::steady_timer>> waiting;
+};
+
+/// Source of changes that asks the watchers of the zone, or the store when there is none that knows its state.
+class RelayedSource : public ObjectSource, public std::enable_shared_from_this<RelayedSource> {
+public:
+    RelayedSource(asio::any_io_executor sourceExecutor, std::shared_ptr<ObjectSource> objectStore,
+        std::shared_ptr<StoreRelay> storeRelay, RelayTiming relayTiming);
+
+    /// What this instance is to do; asked before each call.
+    std::function<RelayAssignment()> assignment;
+    /// Called after each call to a watcher with whether its response was used.
+    std::function<void(bool)> onWatcherCall;
+
+    Awaitable<Result<ObjectSet>> list(std::string kind, Freshness freshness) override;
+    Awaitable<Result<ChangeSet>> changes(
+        std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness) override;
+
+private:
+    struct Watcher {
+        std::shared_ptr<Transport> transport;
+        TimePoint backoffUntil {};
+    };
+    struct RelayedChanges {
+        ChangeSet changes;
+        Duration age {};
+    };
+    /// Errors: PlatformHistoryLost; PlatformUnreachable and those of Transport::call() when the watcher is of no use.
+    Awaitable<Result<RelayedChanges>> askWatcher(
+        std::shared_ptr<Transport> transport, std::string kind, std::uint64_t revision);
+    Awaitable<Result<ChangeSet>> askStore(
+        std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness);
+    Watcher* selectWatcher(const std::vector<HostPort>& addresses, TimePoint now);
+
+    asio::any_io_executor executor;
+    std::shared_ptr<ObjectSource> store;
+    std::shared_ptr<StoreRelay> relay;
+    RelayTiming timing;
+    std::map<std::string, Watcher> watchers; ///< By address.
+    TimePoint startedAt {};
+    TimePoint storeFailedAt {};
+};
+
+} // namespace clementinefall::platform
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -127,6 +127,29 @@
         context.run_for(milliseconds(20));
     }
 
+    SECTION("the objects are not current before the changes since a stale first list were read")
+    {
+        // A process that has just restarted would otherwise use a server that left before.
+        std::vector<std::string> events;
+        watcher->onList = [&](const ObjectSet&, bool) { events.emplace_back("list"); };
+        watcher->onChanges = [&](const ChangeSet&) { events.emplace_back("changes"); };
+        watcher->onCaughtUp = [&] { events.emplace_back("current"); };
+        source->lists = { emptySetAt(7) };
+        SECTION("by a watch")
+        {
+            source->watches = { removalOf("a", 9), removalOf("b", 10) };
+            runScript();
+            CHECK(events == std::vector<std::string> { "list", "changes", "current", "changes" });
+        }
+        SECTION("or by another list, when the watch fails")
+        {
+            source->lists.push_back(emptySetAt(20));
+            source->watches = { makeError(ResultCode::PlatformTimeout, "silence") };
+            runScript();
+            CHECK(events == std::vector<std::string> { "list", "list", "current" });
+        }
+    }
+
     SECTION("only the first list may be stale: a later stale list could bring back removed servers")
     {
         source->lists = { emptySetAt(7), emptySetAt(20), emptySetAt(30) };
--- /dev/null
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -0,0 +1,265 @@
+#include "http/server.h"
+#include "platform/storerelay.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace clementinefall;
+using namespace clementinefall::platform;
+
+namespace {
+
+constexpr milliseconds changeBound { 1000 };
+const std::string kind = "servers";
+
+/// The store as one instance reaches it. All instances share its objects, but each can be cut off from it.
+struct FakeStore {
+    ChangeLog log;
+    std::vector<std::weak_ptr<asio::steady_timer>> waiting;
+
+    FakeStore() { restartChangeLog(this->log, 10, false); }
+
+    void remove(const std::string& name)
+    {
+        StoredObject object { .name = name, .revision = this->log.revision + 1, .content = {} };
+        appendChanges(this->log,
+            { .revision = object.revision, .changes = { { .object = std::move(object), .isRemoved = true } } });
+        for (const auto& weak : std::exchange(this->waiting, {})) {
+            if (const auto timer = weak.lock())
+                timer->cancel();
+        }
+    }
+};
+
+class StoreAccess : public ObjectSource {
+public:
+    StoreAccess(asio::io_context& accessContext, FakeStore& fakeStore)
+        : context(accessContext)
+        , store(fakeStore)
+    {
+    }
+
+    Awaitable<Result<ObjectSet>> list(std::string, Freshness) override
+    {
+        ++this->lists;
+        if (this->isCut)
+            co_return makeError(ResultCode::PlatformUnreachable, "cut off");
+        co_return ObjectSet { .revision = this->store.log.revision, .objects = {} };
+    }
+
+    Awaitable<Result<ChangeSet>> changes(std::string, std::uint64_t revision, milliseconds wait, Freshness) override
+    {
+        ++this->watches;
+        const TimePoint until = Clock::now() + wait;
+        if (!this->isCut && this->store.log.revision <= revision) {
+            auto timer = std::make_shared<asio::steady_timer>(this->context, until);
+            this->store.waiting.push_back(timer);
+            co_await timer->async_wait(useTuple);
+        }
+        if (this->isCut)
+            co_return makeError(ResultCode::PlatformUnreachable, "cut off");
+        const auto result = changesAfter(this->store.log, revision);
+        if (!result)
+            co_return makeError(ResultCode::PlatformHistoryLost, "history lost");
+        ChangeSet set { .revision = result->revision, .changes = {} };
+        for (const std::string& text : result->changes)
+            set.changes.push_back(decodeChange(boost::json::parse(text)));
+        co_return set;
+    }
+
+    asio::io_context& context;
+    FakeStore& store;
+    bool isCut = false;
+    unsigned lists = 0;
+    unsigned watches = 0;
+};
+
+/// An entry instance: follows the store by its assignment and serves its followers.
+class Instance {
+public:
+    Instance(asio::io_context& context, FakeStore& store, RelayRole role, std::vector<HostPort> watchers = {})
+        : access(std::make_shared<StoreAccess>(context, store))
+        , relay(std::make_shared<StoreRelay>(context.get_executor(), kind, relayTiming(changeBound)))
+        , source(std::make_shared<RelayedSource>(
+              context.get_executor(), this->access, this->relay, relayTiming(changeBound)))
+        , assignment { role, {}, std::move(watchers) }
+    {
+        this->server
+            = std::make_shared<http::Server>(std::vector<asio::io_context*> { &context }, http::ServerLimits {},
+                [this](std::shared_ptr<http::Exchange> exchange) { return this->handle(std::move(exchange)); });
+        REQUIRE(isOk(this->server->listen({ "127.0.0.1", 0 })));
+        this->source->assignment = [this] { return this->assignment; };
+        WatchOptions options;
+        options.minimumInterval = changeBound / 4;
+        this->watcher = std::make_shared<KindWatcher>(context.get_executor(), this->source, kind, options);
+        this->watcher->onList = [this](const ObjectSet& set, bool afterOutage) {
+            this->listsAfterOutage += afterOutage ? 1 : 0;
+            this->revision = set.revision;
+            this->relay->restart(kind, set.revision, afterOutage);
+        };
+        this->watcher->onChanges = [this](const ChangeSet& changes) {
+            CHECK(changes.revision > this->revision);
+            this->revision = changes.revision;
+            for (const ObjectChange& change : changes.changes)
+                this->removed.insert(change.object.name);
+            this->relay->append(kind, changes);
+        };
+        this->watcher->onCall = [this](bool succeeded) { this->relay->setInSync(kind, succeeded); };
+        this->watcher->start();
+    }
+
+    HostPort address() const { return { "127.0.0.1", this->server->port() }; }
+
+    std::shared_ptr<StoreAccess> access;
+    std::shared_ptr<StoreRelay> relay;
+    std::shared_ptr<RelayedSource> source;
+    std::shared_ptr<KindWatcher> watcher;
+    std::shared_ptr<http::Server> server;
+    RelayAssignment assignment;
+    std::set<std::string> removed;
+    std::uint64_t revision = 0;
+    unsigned listsAfterOutage = 0;
+    bool isFrozen = false; ///< Accepts calls and never responds.
+
+private:
+    Awaitable<void> handle(std::shared_ptr<http::Exchange> exchange)
+    {
+        if (this->isFrozen) {
+            asio::steady_timer timer(exchange->executor(), seconds(60));
+            co_await timer.async_wait(useTuple);
+            co_return;
+        }
+        co_await this->relay->handle(exchange);
+    }
+};
+
+} // namespace
+
+TEST_CASE("The watcher of a zone")
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 20; ++i)
+        names.push_back("instance-" + std::to_string(i));
+    std::vector<std::string> watchers;
+    for (const std::string& name : names) {
+        if (assignRelay("zone-a", name, names).role == RelayRole::Watcher)
+            watchers.push_back(name);
+    }
+    REQUIRE(watchers.size() == 1);
+
+    SECTION("is asked first by all the others, and the second instance asks only the watcher")
+    {
+        unsigned askOnlyWatcher = 0;
+        for (const std::string& name : names) {
+            const RelayAssignment assignment = assignRelay("zone-a", name, names);
+            if (name == watchers[0]) {
+                CHECK(assignment.watcherNames.empty());
+                continue;
+            }
+            REQUIRE_FALSE(assignment.watcherNames.empty());
+            CHECK(assignment.watcherNames[0] == watchers[0]);
+            askOnlyWatcher += assignment.watcherNames.size() == 1 ? 1 : 0;
+        }
+        CHECK(askOnlyWatcher == 1);
+    }
+    SECTION("is the same whatever order the instances are known in")
+    {
+        std::reverse(names.begin(), names.end());
+        CHECK(assignRelay("zone-a", watchers[0], names).role == RelayRole::Watcher);
+    }
+    SECTION("stays when another instance leaves")
+    {
+        std::erase_if(names, [&](const auto& name) { return name != watchers[0] && name.ends_with("3"); });
+        CHECK(assignRelay("zone-a", watchers[0], names).role == RelayRole::Watcher);
+    }
+    SECTION("is missing in a small zone, where each instance watches the store itself")
+    {
+        names.resize(2);
+        CHECK(assignRelay("zone-a", names[0], names).role == RelayRole::Alone);
+        CHECK(assignRelay("zone-a", names[1], names).role == RelayRole::Alone);
+    }
+}
+
+TEST_CASE("Following the store through the watchers of the zone")
+{
+    // The time bounds are those of the platform, scaled down: a server must be known to have left within changeBound.
+    asio::io_context context { 1 };
+    FakeStore store;
+    Instance first(context, store, RelayRole::Watcher);
+    Instance second(context, store, RelayRole::Follower, { first.address() });
+    Instance follower(context, store, RelayRole::Follower, { first.address(), second.address() });
+    context.run_for(changeBound);
+    REQUIRE(follower.revision == 10);
+    const unsigned watchesBefore = follower.access->watches;
+
+    const auto knowsRemovalInTime = [&] {
+        store.remove("server-1");
+        const TimePoint start = Clock::now();
+        while (Clock::now() - start < changeBound && !follower.removed.contains("server-1"))
+            context.run_one_for(milliseconds(10));
+        return follower.removed.contains("server-1");
+    };
+
+    SECTION("a follower knows of a change in time, without a call to the store")
+    {
+        CHECK(knowsRemovalInTime());
+        CHECK(follower.access->watches == watchesBefore);
+        CHECK(second.access->watches <= 1);
+    }
+    SECTION("also when its watcher has just been killed")
+    {
+        first.server->close();
+        first.access->isCut = true;
+        CHECK(knowsRemovalInTime());
+    }
+    SECTION("also when its watcher has just been frozen")
+    {
+        first.isFrozen = true;
+        CHECK(knowsRemovalInTime());
+    }
+    SECTION("also when the first two instances have just been frozen")
+    {
+        first.isFrozen = true;
+        second.isFrozen = true;
+        CHECK(knowsRemovalInTime());
+        CHECK(follower.access->watches > watchesBefore);
+    }
+    SECTION("also when its watcher has just lost the store")
+    {
+        first.access->isCut = true;
+        CHECK(knowsRemovalInTime());
+    }
+    SECTION("also when it is itself cut off from the store, as long as the watcher is not")
+    {
+        follower.access->isCut = true;
+        CHECK(knowsRemovalInTime());
+        CHECK(follower.listsAfterOutage == 0);
+    }
+    SECTION("an outage of the store is an outage for followers, so that missing objects may still come back")
+    {
+        for (Instance* instance : { &first, &second, &follower })
+            instance->access->isCut = true;
+        context.run_for(2 * changeBound);
+        const unsigned callsDuringOutage = follower.access->watches + follower.access->lists;
+        for (Instance* instance : { &first, &second, &follower })
+            instance->access->isCut = false;
+        context.run_for(2 * changeBound);
+        CHECK(follower.listsAfterOutage == 1);
+        CHECK(callsDuringOutage > 0);
+        CHECK(knowsRemovalInTime());
+    }
+    SECTION("a follower that knows more than its watcher never goes back")
+    {
+        store.remove("server-0");
+        follower.revision = 0;
+        follower.removed.clear();
+        // onChanges checks that revisions rise.
+        context.run_for(changeBound);
+        first.relay->restart(kind, 5, false);
+        CHECK(knowsRemovalInTime());
+    }
+}
