--- a/src/libs/forwarding/callerserver.cpp
+++ b/src/libs/forwarding/callerserver.cpp
@@ -66,17 +66,30 @@
                 { { "code", number(ResultCode::TooManyConnections) }, { "open", this->sessions.size() } });
             continue;
         }
-        auto session = std::make_shared<CallerSession>(std::move(socket), this->context);
-        this->sessions.push_back(session);
-        asio::co_spawn(
-            this->executor, [session]() -> Awaitable<void> { return session->run(); }, asio::detached);
+        this->startSession(std::move(socket));
     }
 }
 
+void CallerServer::startSession(asio::ip::tcp::socket socket)
+{
+    auto session = std::make_shared<CallerSession>(std::move(socket), this->context);
+    this->sessions.push_back(session);
+    asio::co_spawn(
+        this->executor, [session]() -> Awaitable<void> { return session->run(); }, asio::detached);
+}
+
 void CallerServer::stopAccepting()
 {
-    beast::error_code ignored;
-    this->acceptor.close(ignored);
+    beast::error_code error;
+    this->acceptor.non_blocking(true, error);
+    // Closing the acceptor resets the connections in its queue, which may have sent requests already.
+    while (!error) {
+        asio::ip::tcp::socket socket(this->executor);
+        this->acceptor.accept(socket, error);
+        if (!error)
+            this->startSession(std::move(socket));
+    }
+    this->acceptor.close(error);
 }
 
 void CallerServer::closeIdle()
--- a/src/libs/forwarding/callerserver.h
+++ b/src/libs/forwarding/callerserver.h
@@ -25,6 +25,7 @@
 
 private:
     Awaitable<void> acceptLoop();
+    void startSession(asio::ip::tcp::socket socket);
     /// Removes expired sessions from the list.
     void removeClosed();
 
--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -155,6 +155,14 @@
         this->armWatchdog(Clock::now() + this->limits().idleTimeout);
 }
 
+bool CallerSession::isIdle() const
+{
+    if (!this->queue.empty() || this->buffer.size() > 0 || this->isReading)
+        return false;
+    beast::error_code error;
+    return this->socket.available(error) == 0 || error;
+}
+
 void CallerSession::close()
 {
     if (this->isClosed)
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -57,8 +57,8 @@
     /// Receives requests until the connection is closed.
     Awaitable<void> run();
 
-    /// Whether no request is queued or being received.
-    bool isIdle() const { return this->queue.empty() && this->buffer.size() == 0 && !this->isReading; }
+    /// Whether no request is queued or being received, nor waits in the socket to be read.
+    bool isIdle() const;
     /// Closes the connection and cancels its requests.
     void close();
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -43,6 +43,11 @@
 /// this, whichever is longer. A caller that is rejected later has too little time left to be served elsewhere.
 constexpr int maximumWaitDivisor = 3;
 
+/// Time for which requests are held at most after a pause of the process. A call to the store usually takes less; if
+/// the store is away, the instance goes on with what it knows.
+constexpr milliseconds maximumHold { 700 };
+constexpr milliseconds holdCheckInterval { 20 };
+
 /// Backoff of a server after another one responded at its address, until the store reports the change.
 constexpr seconds misdirectedBackoff { 2 };
 
@@ -241,6 +246,26 @@
         budget.setAllowance(static_cast<unsigned>(allowance));
 }
 
+bool Forwarder::isHeld(TimePoint now)
+{
+    if (beat(this->pauseDetector, this->settings.sinceBoot())) {
+        this->heldUntil = now + maximumHold;
+        logWarning("resumed_after_pause", { { "active_requests", this->activeRequestContexts.size() } });
+        if (this->onPaused)
+            this->onPaused();
+    }
+    return now < this->heldUntil;
+}
+
+Awaitable<void> Forwarder::waitWhileHeld(std::shared_ptr<RequestContext> context)
+{
+    const auto self = this->shared_from_this();
+    auto timer = std::make_shared<asio::steady_timer>(this->executor, holdCheckInterval);
+    context->onCancel = [timer] { timer->cancel(); };
+    co_await timer->async_wait(useTuple);
+    context->onCancel = {};
+}
+
 bool Forwarder::mayUseCold(const BackendServer& server, TimePoint now) const
 {
     if (!isCold(server, now))
@@ -435,6 +460,10 @@
                 : makeError(ResultCode::NotRunDeadline, "the deadline passed before the request was sent");
             break;
         }
+        if (this->isHeld(now)) {
+            co_await this->waitWhileHeld(context);
+            continue;
+        }
         const Placement placement = this->placeRequest(job, now);
         if (!placement.server) {
             job.retryAfter = placement.retryAfter;
@@ -530,7 +559,8 @@
         job.connecting += Clock::now() - connectStart;
         context->onCancel = {};
         // The server may have become unusable or cold during the connect.
-        const bool isStillEligible = isUsable(*server) && (wasCold || !isCold(*server, Clock::now()));
+        const bool isStillEligible
+            = isUsable(*server) && (wasCold || !isCold(*server, Clock::now())) && !this->isHeld(Clock::now());
         if (!connected || context->isCancelled || context->isAborted || !isStillEligible) {
             connection->close();
             --server->inFlight;
@@ -723,6 +753,7 @@
 
 void Forwarder::tick(TimePoint now)
 {
+    this->isHeld(now);
     for (auto& [instance, reportedAt] : this->neighbourReportedAt) {
         if (now - reportedAt > neighbourLoadLifetime && !this->neighbourLoads[instance].empty())
             this->recordNeighbourLoad(instance, {}, reportedAt);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/pausedetector.h"
 #include "base/random.h"
 #include "forwarding/configuration.h"
 #include "forwarding/forwardingmetrics.h"
@@ -24,6 +25,7 @@
     WireNames names;
     PlacementParameters placement;
     double retryRatio = 0.2; ///< Retries per request to a service that the whole fleet may send.
+    std::function<Duration()> sinceBoot = timeSinceBoot; ///< Clock that detects pauses of the process.
     double retryAllowance = 0; ///< Retries beyond that ratio in each budget window, for the whole fleet.
 };
 
@@ -92,6 +94,12 @@
     /// Utilization of the local region by service, reported to the other regions.
     std::map<std::string, double> regionUtilization() const;
 
+    /// Called when the process was paused for so long that its knowledge of the backend servers may be outdated. Until
+    /// confirmKnowledge() is called, or for a limited time if it is not, requests are not sent.
+    std::function<void()> onPaused;
+    /// To be called when the knowledge of the backend servers was found to be current.
+    void confirmKnowledge() { this->heldUntil = {}; }
+
     /// Periodic maintenance, to be called about four times a second.
     void tick(TimePoint now);
 
@@ -132,6 +140,10 @@
     Awaitable<Outcome> processRequest(std::shared_ptr<RequestContext> context);
     std::shared_ptr<RouteState> routeState(const Route& route);
     Placement placeRequest(Job& job, TimePoint now);
+    /// Whether requests wait because the process was paused. Detects a pause that no timer has noticed yet.
+    bool isHeld(TimePoint now);
+    /// Waits until requests may be sent again, or for a short time.
+    Awaitable<void> waitWhileHeld(std::shared_ptr<RequestContext> context);
     bool mayUseCold(const BackendServer& server, TimePoint now) const;
     /// Queues the request until it should be placed again. Returns false when it is to be rejected instead.
     Awaitable<bool> waitForCapacity(Job& job);
@@ -168,6 +180,8 @@
     std::set<RequestContext*> activeRequestContexts; ///< Requests inside forward().
     bool rejectsWaiting = false; ///< Set by rejectWaiting().
     std::map<std::string, RegionSpill> spills; ///< By service.
+    PauseDetector pauseDetector;
+    TimePoint heldUntil {}; ///< No request is sent before, after a pause of the process.
     TimePoint lastTick {};
     TimePoint nextSummary {};
     ServerConnectionPool connections;
--- a/src/libs/forwarding/heartbeat.h
+++ b/src/libs/forwarding/heartbeat.h
@@ -27,9 +27,8 @@
 /// Maximum size of an encoded heartbeat; fits in one datagram on usual links.
 inline constexpr std::size_t maximumHeartbeatBytes = 1400;
 
-/// Encodes as JSON, without the fields that do not fit into `maximumHeartbeatBytes`. Of the requests in flight, those of
-/// the most loaded servers are kept. Times of crash marks are sent as
-/// ages at \a now.
+/// Encodes as JSON, without the fields that do not fit into `maximumHeartbeatBytes`. Of the requests in flight, those
+/// of the most loaded servers are kept. Times of crash marks are sent as ages at \a now.
 std::string encodeHeartbeat(const Heartbeat& heartbeat, TimePoint now);
 
 /// Error: PeerBadMessage or PeerVersion.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -170,6 +170,7 @@
         settings.region = "north";
         settings.names = testWireNames();
         settings.retryAllowance = 100;
+        settings.sinceBoot = [this] { return this->sinceBoot; };
         this->forwarder = std::make_shared<Forwarder>(this->context.get_executor(), settings, this->catalog);
         this->configure(1, "/safe/");
         this->addServer("s1", this->first.port());
@@ -272,6 +273,7 @@
     }
 
     asio::io_context context { 1 };
+    Duration sinceBoot = seconds(100);
     ScriptedServer first;
     ScriptedServer second;
     std::shared_ptr<ServerCatalog> catalog;
@@ -674,6 +676,47 @@
     CHECK(fixture.exchange(requestBytes("r2", "/safe/2"), "whole").starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("A process that was paused")
+{
+    // While it was paused, a backend server may have left. What it knew then must not decide about requests now.
+    Fixture fixture;
+    fixture.forwarder->tick(Clock::now());
+    unsigned pauses = 0;
+    fixture.forwarder->onPaused = [&] { ++pauses; };
+    fixture.sinceBoot += seconds(5);
+    const auto socket = fixture.open(requestBytes("r1", "/safe/1"));
+    fixture.runUntil([&] { return pauses == 1; });
+    CHECK(fixture.first.requests.empty());
+
+    SECTION("sends no request to a server that has left meanwhile")
+    {
+        fixture.addServer("s2", fixture.second.port());
+        fixture.catalog->remove("s1");
+        fixture.forwarder->confirmKnowledge();
+        CHECK(fixture.receive(socket, "whole").starts_with("HTTP/1.1 200"));
+        CHECK(fixture.first.requests.empty());
+        CHECK(fixture.second.requests.size() == 1);
+    }
+    SECTION("goes on with what it knows when the store is away")
+    {
+        CHECK(fixture.receive(socket, "whole").starts_with("HTTP/1.1 200"));
+        CHECK(fixture.first.requests.size() == 1);
+    }
+    SECTION("notices the pause also in a request that was connecting to a server")
+    {
+        fixture.forwarder->confirmKnowledge();
+        fixture.receive(socket, "whole");
+        fixture.catalog->remove("s1");
+        fixture.addServer("s3", fixture.second.port());
+        const auto other = fixture.open(requestBytes("r2", "/once/2", "POST"));
+        fixture.runUntil([&] { return fixture.forwarder->activeRequests() == 1; });
+        fixture.sinceBoot += seconds(5);
+        fixture.context.run_for(milliseconds(100));
+        CHECK(pauses == 2);
+        CHECK(fixture.second.requests.empty());
+    }
+}
+
 TEST_CASE("Pipelined requests")
 {
     Fixture fixture;
@@ -844,6 +887,44 @@
         CHECK(fixture.first.requests.size() == sent);
     }
 
+    SECTION("answers requests that arrive while it stops accepting and closes idle connections")
+    {
+        std::shared_ptr<tcp::socket> caller;
+        std::string rest;
+        SECTION("on a connection in the accept queue") { caller = fixture.open(requestBytes("r1", "/safe/1")); }
+        SECTION("on a connection that was idle until now")
+        {
+            caller = fixture.open(requestBytes("r0", "/safe/0"));
+            fixture.runUntil([&] { return caller->available() > 0 && fixture.sessions->inProgress == 0; });
+            std::array<char, 4096> response {};
+            caller->read_some(asio::buffer(response));
+            asio::write(*caller, asio::buffer(requestBytes("r1", "/safe/1")));
+        }
+        SECTION("with a header of which half was received")
+        {
+            const std::string bytes = requestBytes("r1", "/safe/1");
+            caller = fixture.open(bytes.substr(0, bytes.size() / 2));
+            fixture.context.run_for(milliseconds(20));
+            rest = bytes.substr(bytes.size() / 2);
+        }
+        SECTION("with a body of which half was received")
+        {
+            const std::string bytes = requestBytes("r1", "/once/1", "POST");
+            caller = fixture.open(bytes.substr(0, bytes.size() - 1));
+            fixture.context.run_for(milliseconds(20));
+            rest = bytes.substr(bytes.size() - 1);
+        }
+        fixture.sessions->isStopping = true;
+        fixture.server->stopAccepting();
+        fixture.server->closeIdle();
+        fixture.context.run_for(milliseconds(20));
+        fixture.server->closeIdle();
+        asio::write(*caller, asio::buffer(rest));
+        const std::string text = fixture.receive(caller, "whole");
+        CHECK(text.find("X-Id: r1") != std::string::npos);
+        CHECK(text.find("whole") != std::string::npos);
+    }
+
     SECTION("completes the request in flight and closes the connection after its response")
     {
         fixture.first.script = [](const std::string& request) {
--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -21,10 +21,14 @@
 constexpr double followerWaitFraction = 0.2;
 constexpr double responseAllowanceFraction = 0.12;
 constexpr double freshnessFraction = 0.5;
+constexpr double outageToleranceFraction = 0.6;
 
 /// Interval at which an instance that has just started checks whether it knows the instances of its zone.
 constexpr milliseconds startCheckInterval { 100 };
 
+/// Interval of the calls to watchers that have lost the store.
+constexpr milliseconds outageCheckInterval { 100 };
+
 /// Rate of the calls to one watcher. Calls beyond it come from an error and not from changes.
 constexpr double watcherCallsPerSecond = 50;
 constexpr double watcherBurstCalls = 100;
@@ -77,6 +81,7 @@
     timing.followerWait = scaled(changeBound, followerWaitFraction);
     timing.responseAllowance = scaled(changeBound, responseAllowanceFraction);
     timing.freshness = scaled(changeBound, freshnessFraction);
+    timing.outageTolerance = scaled(changeBound, outageToleranceFraction);
     return timing;
 }
 
@@ -179,18 +184,20 @@
     return this->store->list(std::move(kind), freshness);
 }
 
-RelayedSource::Watcher* RelayedSource::selectWatcher(const std::vector<HostPort>& addresses, TimePoint now)
+void RelayedSource::dropConnections()
 {
-    for (const HostPort& address : addresses) {
-        Watcher& watcher = this->watchers[address.text()];
-        if (!watcher.transport) {
-            watcher.transport = std::make_shared<Transport>(
-                this->executor, TransportSettings { address, watcherCallsPerSecond, watcherBurstCalls });
-        }
-        if (now >= watcher.backoffUntil)
-            return &watcher;
+    for (auto& [address, watcher] : this->watchers)
+        watcher.transport->dropConnections();
+}
+
+RelayedSource::Watcher& RelayedSource::watcherAt(const HostPort& address)
+{
+    Watcher& watcher = this->watchers[address.text()];
+    if (!watcher.transport) {
+        watcher.transport = std::make_shared<Transport>(
+            this->executor, TransportSettings { address, watcherCallsPerSecond, watcherBurstCalls });
     }
-    return nullptr;
+    return watcher;
 }
 
 Awaitable<Result<ChangeSet>> RelayedSource::changes(
@@ -208,10 +215,38 @@
         const milliseconds watcherWait = std::chrono::duration_cast<milliseconds>(this->timing.watcherWait);
         co_return co_await this->askStore(kind, revision, hasFollowers ? std::min(wait, watcherWait) : wait, freshness);
     }
-    Watcher* watcher = this->selectWatcher(assigned.watchers, Clock::now());
-    bool isOutage = false;
-    if (watcher != nullptr) {
-        const std::shared_ptr<Transport> transport = watcher->transport;
+    const milliseconds followerWait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
+    const TimePoint giveUpAt = Clock::now() + this->timing.outageTolerance;
+    while (true) {
+        const Result<ChangeSet> relayed = co_await this->askWatchers(assigned.watchers, kind, revision);
+        if (isOk(relayed) || errorOf(relayed).code == ResultCode::PlatformHistoryLost)
+            co_return relayed;
+        const bool isOutage = errorOf(relayed).code == ResultCode::PlatformBadAnswer;
+        const bool hasJustFailed = Clock::now() - this->storeFailedAt < this->timing.outageRetryDelay;
+        if (!isOutage || !hasJustFailed) {
+            const Result<ChangeSet> own
+                = co_await this->askStore(kind, revision, std::min(wait, followerWait), freshness);
+            if (isOk(own) || !isOutage || errorOf(own).code == ResultCode::PlatformHistoryLost)
+                co_return own;
+        }
+        // The store may serve another instance of the zone, which needs a moment to notice that the watcher is lost.
+        if (Clock::now() >= giveUpAt)
+            co_return makeError(
+                ResultCode::PlatformUnreachable, "neither this instance nor a watcher reaches the store");
+        asio::steady_timer timer(this->executor, outageCheckInterval);
+        co_await timer.async_wait(useTuple);
+    }
+}
+
+Awaitable<Result<ChangeSet>> RelayedSource::askWatchers(
+    std::vector<HostPort> addresses, std::string kind, std::uint64_t revision)
+{
+    Error last = makeError(ResultCode::PlatformUnreachable, "no watcher of the zone responds");
+    for (const HostPort& address : addresses) {
+        Watcher& watcher = this->watcherAt(address);
+        if (Clock::now() < watcher.backoffUntil)
+            continue;
+        const std::shared_ptr<Transport> transport = watcher.transport;
         const Result<RelayedChanges> relayed = co_await this->askWatcher(transport, kind, revision);
         const bool isUsed = isOk(relayed) && valueOf(relayed).age < this->timing.freshness;
         if (this->onWatcherCall)
@@ -220,18 +255,19 @@
             this->relay->recordContact(kind, Clock::now() - valueOf(relayed).age);
             co_return valueOf(relayed).changes;
         }
-        if (!isOk(relayed) && errorOf(relayed).code == ResultCode::PlatformHistoryLost)
-            co_return errorOf(relayed);
-        isOutage = isOk(relayed) || errorOf(relayed).code == ResultCode::PlatformBadAnswer;
-        if (!isOutage) {
-            logInfo("watcher_lost", { { "kind", kind }, { "why", errorOf(relayed).text() } });
-            watcher->backoffUntil = Clock::now() + this->timing.watcherBackoff;
+        last = isOk(relayed) ? makeError(ResultCode::PlatformBadAnswer, "the watcher has lost the store")
+                             : errorOf(relayed);
+        if (last.code == ResultCode::PlatformHistoryLost)
+            co_return last;
+        // A watcher that has lost the store says so at once, and the store may serve the next instance. A silent
+        // watcher has taken the time that was left.
+        if (last.code != ResultCode::PlatformBadAnswer) {
+            logInfo("watcher_lost", { { "kind", kind }, { "why", last.text() } });
+            watcher.backoffUntil = Clock::now() + this->timing.watcherBackoff;
+            break;
         }
     }
-    if (isOutage && Clock::now() - this->storeFailedAt < this->timing.outageRetryDelay)
-        co_return makeError(ResultCode::PlatformUnreachable, "neither this instance nor its watcher reaches the store");
-    const milliseconds followerWait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
-    co_return co_await this->askStore(kind, revision, std::min(wait, followerWait), freshness);
+    co_return last;
 }
 
 Awaitable<Result<ChangeSet>> RelayedSource::askStore(
--- a/src/libs/platform/storerelay.h
+++ b/src/libs/platform/storerelay.h
@@ -47,6 +47,9 @@
     Duration followerWait {}; ///< Long-poll time of a follower's calls to a watcher.
     Duration responseAllowance {}; ///< Of a watcher, beyond `followerWait`.
     Duration freshness {}; ///< Age of a watcher's knowledge from which it is no longer used.
+    /// Time for which a follower asks on before it takes the loss of the store by itself and its watchers for an
+    /// outage.
+    Duration outageTolerance {};
     Duration startDelay = milliseconds(3500); ///< Time to learn the instances of the zone after the start.
     Duration watcherBackoff = seconds(2); ///< After a failed call to a watcher.
     /// Between two calls of a follower to a store that its watcher cannot reach either.
@@ -106,6 +109,9 @@
     Awaitable<Result<ChangeSet>> changes(
         std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness) override;
 
+    /// Ends the calls to watchers in progress, see Transport::dropConnections().
+    void dropConnections();
+
 private:
     struct Watcher {
         std::shared_ptr<Transport> transport;
@@ -115,12 +121,15 @@
         ChangeSet changes;
         Duration age {};
     };
-    /// Errors: PlatformHistoryLost; PlatformUnreachable and those of Transport::call() when the watcher is of no use.
+    /// Errors: as askWatchers().
     Awaitable<Result<RelayedChanges>> askWatcher(
         std::shared_ptr<Transport> transport, std::string kind, std::uint64_t revision);
+    /// Asks the watchers in turn. Errors: PlatformHistoryLost; PlatformBadAnswer when they have lost the store; those
+    /// of Transport::call() when one does not respond.
+    Awaitable<Result<ChangeSet>> askWatchers(std::vector<HostPort> addresses, std::string kind, std::uint64_t revision);
     Awaitable<Result<ChangeSet>> askStore(
         std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness);
-    Watcher* selectWatcher(const std::vector<HostPort>& addresses, TimePoint now);
+    Watcher& watcherAt(const HostPort& address);
 
     asio::any_io_executor executor;
     std::shared_ptr<ObjectSource> store;
--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -142,6 +142,7 @@
 TEST_CASE("The watcher of a zone")
 {
     std::vector<std::string> names;
+    names.reserve(20);
     for (int i = 0; i < 20; ++i)
         names.push_back("instance-" + std::to_string(i));
     std::vector<std::string> watchers;
@@ -239,6 +240,13 @@
         CHECK(knowsRemovalInTime());
         CHECK(follower.listsAfterOutage == 0);
     }
+    SECTION("also when the store turns away both the watcher and the follower, but not the second instance")
+    {
+        first.access->isCut = true;
+        follower.access->isCut = true;
+        context.run_for(2 * changeBound);
+        CHECK(knowsRemovalInTime());
+    }
     SECTION("an outage of the store is an outage for followers, so that missing objects may still come back")
     {
         for (Instance* instance : { &first, &second, &follower })
