Watchers of a zone ask with short calls for one kind only

A watcher used short long-polls for every kind, although only the leading kind shows whether it reaches the store: about two thirds of its calls were not needed. Change: RelayedSource keeps the long wait for the other kinds. Test: tst_storerelay "the watcher asks with short calls for one kind only".

--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -113,7 +113,7 @@
 
 void StoreRelay::recordContact(std::string_view kind, TimePoint at)
 {
-    if (kind == this->leadingKind)
+    if (this->isLeading(kind))
         this->contactAt = std::max(this->contactAt, at);
 }
 
@@ -211,9 +211,11 @@
         assigned = this->assignment();
     }
     if (assigned.role != RelayRole::Follower) {
-        const bool hasFollowers = assigned.role == RelayRole::Watcher;
+        // Short calls for one kind are enough to know whether the store can be reached.
+        const bool mustStayFresh = assigned.role == RelayRole::Watcher && this->relay->isLeading(kind);
         const milliseconds watcherWait = std::chrono::duration_cast<milliseconds>(this->timing.watcherWait);
-        co_return co_await this->askStore(kind, revision, hasFollowers ? std::min(wait, watcherWait) : wait, freshness);
+        co_return co_await this->askStore(
+            kind, revision, mustStayFresh ? std::min(wait, watcherWait) : wait, freshness);
     }
     const milliseconds followerWait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
     const TimePoint giveUpAt = Clock::now() + this->timing.outageTolerance;
--- a/src/libs/platform/storerelay.h
+++ b/src/libs/platform/storerelay.h
@@ -43,7 +43,7 @@
 /// the bound also when a watcher loses the store just before the change: `freshness`, the pause of the follower between
 /// two calls, and one call to the store.
 struct RelayTiming {
-    Duration watcherWait {}; ///< Long-poll time of a watcher's calls to the store, while it has followers.
+    Duration watcherWait {}; ///< Long-poll time of a watcher's calls to the store for the leading kind.
     Duration followerWait {}; ///< Long-poll time of a follower's calls to a watcher.
     Duration responseAllowance {}; ///< Of a watcher, beyond `followerWait`.
     Duration freshness {}; ///< Age of a watcher's knowledge from which it is no longer used.
@@ -71,7 +71,7 @@
     void setInSync(const std::string& kind, bool isInSync);
     /// Records that this instance knew the objects of \a kind as of \a at. Only the leading kind counts.
     void recordContact(std::string_view kind, TimePoint at);
-    TimePoint lastContact() const { return this->contactAt; }
+    bool isLeading(std::string_view kind) const { return kind == this->leadingKind; }
 
     /// Handles `GET /changes/KIND?after=REVISION&wait_ms=N`. Status 200 with the changes, 410 when they are no longer
     /// known, 503 when this instance is not in sync with the store.
--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -1,6 +1,8 @@
 #include "http/server.h"
 #include "platform/storerelay.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -54,6 +56,7 @@
     Awaitable<Result<ChangeSet>> changes(std::string, std::uint64_t revision, milliseconds wait, Freshness) override
     {
         ++this->watches;
+        this->lastWait = wait;
         const TimePoint until = Clock::now() + wait;
         if (!this->isCut && this->store.log.revision <= revision) {
             auto timer = std::make_shared<asio::steady_timer>(this->context, until);
@@ -76,6 +79,7 @@
     bool isCut = false;
     unsigned lists = 0;
     unsigned watches = 0;
+    milliseconds lastWait {};
 };
 
 /// An entry instance: follows the store by its assignment and serves its followers.
@@ -211,6 +215,23 @@
         CHECK(follower.access->watches == watchesBefore);
         CHECK(second.access->watches <= 1);
     }
+    SECTION("the watcher asks with short calls for one kind only, which shows whether it reaches the store")
+    {
+        context.run_for(milliseconds(200));
+        CHECK(first.access->lastWait <= changeBound / 5);
+        const milliseconds longWait { 20'000 };
+        asio::co_spawn(
+            context,
+            [&first, longWait]() -> Awaitable<void> {
+                const auto source = first.source;
+                co_await source->changes("configurations", 10, longWait, Freshness::Latest);
+            },
+            asio::detached);
+        context.poll();
+        CHECK(first.access->lastWait == longWait);
+        store.remove("server-9");
+        context.run_for(milliseconds(10));
+    }
     SECTION("also when its watcher has just been killed")
     {
         first.server->close();
