An instance alone in its zone does not wait for others after a restart

Instances in zones of one waited 3.5 s after a restart for others of their zone before their lists were brought up to date; their callers were rejected meanwhile. Ruled out: slow stops (the three processes that were killed in a stop were hit by the kill of all processes). Change: isZoneKnown(); 0.3 s once any other instance of the fleet is known.

--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -23,6 +23,12 @@
 constexpr double freshnessFraction = 0.5;
 constexpr double outageToleranceFraction = 0.6;
 
+/// Time within which the instances of a fleet register that starts as a whole.
+constexpr milliseconds registrationSpread { 300 };
+
+/// Time after the start after which an instance that knows no other one counts itself as the only one.
+constexpr milliseconds instancesLearnTime { 3500 };
+
 /// Interval at which an instance that has just started checks whether it knows the instances of its zone.
 constexpr milliseconds startCheckInterval { 100 };
 
@@ -74,6 +80,15 @@
     return result;
 }
 
+bool isZoneKnown(const ZoneKnowledge& knowledge, TimePoint now)
+{
+    if (knowledge.othersInZone > 0)
+        return true;
+    const bool isFleetKnown
+        = knowledge.fleetKnownAt != TimePoint {} && now - knowledge.fleetKnownAt >= registrationSpread;
+    return isFleetKnown || now - knowledge.startedAt >= instancesLearnTime;
+}
+
 RelayTiming relayTiming(Duration changeBound)
 {
     RelayTiming timing;
--- a/src/libs/platform/storerelay.h
+++ b/src/libs/platform/storerelay.h
@@ -39,6 +39,17 @@
 /// fails, it asks the store itself. \a instances includes \a self. Leaves `watchers` empty.
 RelayAssignment assignRelay(std::string_view zone, const std::string& self, std::vector<std::string> instances);
 
+/// What an instance has learned of the fleet since its start.
+struct ZoneKnowledge {
+    TimePoint startedAt {};
+    TimePoint fleetKnownAt {}; ///< When the first other instance of any zone was known; unset before.
+    std::size_t othersInZone = 0;
+};
+
+/// Whether an instance knows the instances of its zone well enough to choose its part. After a restart it knows the
+/// fleet at once. At the first start of the fleet, the others register only a little later.
+bool isZoneKnown(const ZoneKnowledge& knowledge, TimePoint now);
+
 /// Times of the relay, derived from the bound within which an instance must know of a change. They add up to less than
 /// the bound also when a watcher loses the store just before the change: `freshness`, the pause of the follower between
 /// two calls, and one call to the store.
--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -189,6 +189,29 @@
     }
 }
 
+TEST_CASE("An instance that has just started chooses its part")
+{
+    const TimePoint start { seconds(1000) };
+    ZoneKnowledge knowledge { .startedAt = start };
+
+    SECTION("soon after a restart when it is the only one of its zone, so that its callers do not wait")
+    {
+        knowledge.fleetKnownAt = start + milliseconds(200);
+        CHECK_FALSE(isZoneKnown(knowledge, start + milliseconds(300)));
+        CHECK(isZoneKnown(knowledge, start + milliseconds(500)));
+    }
+    SECTION("at once when it knows another instance of its zone")
+    {
+        knowledge.othersInZone = 1;
+        CHECK(isZoneKnown(knowledge, start));
+    }
+    SECTION("after a few seconds when it is the only one of the fleet")
+    {
+        CHECK_FALSE(isZoneKnown(knowledge, start + seconds(2)));
+        CHECK(isZoneKnown(knowledge, start + seconds(4)));
+    }
+}
+
 TEST_CASE("Following the store through the watchers of the zone")
 {
     // The time bounds are those of the platform, scaled down: a server must be known to have left within changeBound.
