Log the rate limits that backend servers name

Cause: nothing recorded a named limit (Server-Limit), so neither logs nor metrics could tell whether an instance sees it, and whether the excess is the usual traffic or the limit times the number of instances. Change: the header is decoded; changes are logged, and service_summary compares the limits with what was sent. No decision uses it yet.

--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/settings.h"
+#include "forwarding/ratelimit.h"
 
 #include <cstdint>
 #include <memory>
@@ -81,6 +82,8 @@
     /// no response is due.
     TimePoint awaitingResponseSince {};
     Duration unresponsiveTimeout {}; ///< Time without a response after which the server counts as unresponsive.
+    RateLimitState rateLimit;
+    unsigned sentWhileLimited = 0; ///< Requests of this instance since the last summary line.
     TimePoint lastColdSend {}; ///< Last request sent while the server was cold, for the rate limit.
 };
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -577,6 +577,8 @@
             : expected.cacheAffinity == CacheAffinity::Home ? job.state->homePlacements
                                                             : job.state->uncachedPlacements);
     const TimePoint sentAt = Clock::now();
+    if (server->rateLimit.perSecond)
+        ++server->sentWhileLimited;
     if (server->awaitingResponseSince == TimePoint {}) {
         server->awaitingResponseSince = sentAt;
         server->unresponsiveTimeout = unresponsiveAllowance + unresponsiveEstimateFactor * expected.completion;
@@ -608,6 +610,8 @@
     this->counters.recordServerAttempt(job.service, std::string(attemptEndName(response.end)));
     if (response.isMisdirected)
         server->backoffUntil = now + misdirectedBackoff;
+    if (response.rateLimit)
+        this->mergeServerLimit(server, *response.rateLimit, "response");
     if (response.load) {
         server->report = *response.load;
         server->report.localInFlight = server->inFlight + 1;
@@ -641,6 +645,20 @@
         recordProcessingTime(job.state->processingTime, expected.cacheAffinity, processingTime);
 }
 
+bool Forwarder::mergeServerLimit(const ServerPointer& server, const RateLimitState& limit, std::string_view source)
+{
+    const std::optional<double> before = server->rateLimit.perSecond;
+    if (!mergeRateLimit(server->rateLimit, limit))
+        return false;
+    // Changes of the value alone may come with each response.
+    if (before.has_value() != limit.perSecond.has_value()) {
+        logInfo(limit.perSecond ? "rate_limit_started" : "rate_limit_ended",
+            { { "server", server->entry.id }, { "service", server->entry.service },
+                { "per_second", limit.perSecond.value_or(*before) }, { "source", source } });
+    }
+    return true;
+}
+
 void Forwarder::onConnectFailure(const ServerPointer& server, TimePoint now)
 {
     // A server that restarts under its old id is cold before its entry in the store reports it.
@@ -792,14 +810,22 @@
     for (const auto& [name, queue] : this->requestQueues) {
         double load = 0;
         double slots = 0;
+        unsigned limitedServers = 0;
+        double limitPerSecond = 0;
+        unsigned sentWhileLimited = 0;
         for (const ServerPointer& server : this->catalog->serversOf(name)) {
+            limitedServers += server->rateLimit.perSecond ? 1 : 0;
+            limitPerSecond += server->rateLimit.perSecond.value_or(0);
+            sentWhileLimited += std::exchange(server->sentWhileLimited, 0);
             if (!isUsable(*server) || server->locality == Locality::OtherRegion)
                 continue;
             load += outstandingRequests(*server, now);
             slots += server->entry.slots;
         }
         logInfo("service_summary",
-            { { "service", name }, { "waiting", queue.size() }, { "region_load", load }, { "region_slots", slots } });
+            { { "service", name }, { "waiting", queue.size() }, { "region_load", load }, { "region_slots", slots },
+                { "limited_servers", limitedServers }, { "limit_per_second", fmt::format("{:.1f}", limitPerSecond) },
+                { "sent_while_limited", sentWhileLimited } });
     }
 }
 
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -152,6 +152,8 @@
         Job& job, const ServerPointer& server, const CompletionEstimate& expected);
     void recordAttemptResult(Job& job, const ServerPointer& server, const CompletionEstimate& expected,
         const ServerResponse& response, unsigned loadAtSend, TimePoint sentAt);
+    /// Adopts a newer state of the server's limit and logs a change. Returns whether it changed.
+    bool mergeServerLimit(const ServerPointer& server, const RateLimitState& limit, std::string_view source);
     void onConnectFailure(const ServerPointer& server, TimePoint now);
     void onServerCrash(const ServerPointer& server, TimePoint now);
     bool shouldRetry(const Job& job, const ServerResponse& response, TimePoint now);
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/serverconnection.h"
 
+#include "base/log.h"
 #include "http/sockets.h"
 #include "http/syntaxerror.h"
 
@@ -178,6 +179,7 @@
     this->reusable = false;
     this->isRequestWritten = false;
     this->armWatchdog(deadline);
+    this->requestSentAt = Clock::now();
     PendingResponse pending;
     pending.request = request;
     pending.streamingDeadline = deadline + maximumStreamingOverrun;
@@ -261,6 +263,12 @@
     result.hasSeal = !field(names.responseSeal).empty();
     result.end = isNotRun ? AttemptEnd::ShedByServer : AttemptEnd::Answered;
     result.load = parseLoad(field(names.serverLoad));
+    const std::string_view statedLimit = field(names.rateLimit);
+    const std::optional<double> rateLimit = parseRateLimit(statedLimit);
+    if (!rateLimit && !statedLimit.empty())
+        logWarning("rate_limit_invalid", { { "server", this->server->entry.id }, { "value", statedLimit } });
+    else if (!id.empty() && !result.isMisdirected && (rateLimit || !isNotRun))
+        result.rateLimit = observedRateLimit(rateLimit, this->requestSentAt, Clock::now());
     if (const auto keepAlive = parseKeepAlive(field("Keep-Alive"))) {
         const Duration stated = seconds(*keepAlive);
         this->idleLimit = std::max<Duration>(stated - idleMargin, stated / 2);
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -24,6 +24,7 @@
     bool wasStreamed = false; ///< The response, or its first part, was passed to the sink.
     bool isConnectionLost = false; ///< The connection broke between the request and its response.
     std::optional<LoadReport> load;
+    std::optional<RateLimitState> rateLimit; ///< Empty unless the server itself responded to the request.
     std::string detail; ///< Reason for a failure.
 };
 
@@ -85,6 +86,7 @@
     bool reusable = false; ///< The last exchange ended cleanly.
     bool hasTimedOut = false;
     bool isCancelled = false;
+    TimePoint requestSentAt {}; ///< Start of the current request.
     bool isRequestWritten = false; ///< The current request was written completely.
 };
 
--- a/src/libs/forwarding/testwirenames.h
+++ b/src/libs/forwarding/testwirenames.h
@@ -13,6 +13,7 @@
         .responseSeal = "X-Seal",
         .notRun = "X-Not-Run",
         .serverLoad = "X-Load",
+        .rateLimit = "X-Limit",
         .affinityCookie = "object" };
 }
 
--- a/src/libs/forwarding/wirenames.h
+++ b/src/libs/forwarding/wirenames.h
@@ -13,6 +13,7 @@
     std::string responseSeal; ///< Proves that a response was created by a backend server.
     std::string notRun; ///< Set when a backend server did not run the request.
     std::string serverLoad; ///< Load of a backend server as `running,waiting,slots`.
+    std::string rateLimit; ///< Requests per second that a backend server accepts from all entry instances together.
     std::string affinityCookie; ///< Name of the cookie with the affinity key.
 };
 
