Keep to the rate limits of backend servers across the fleet

Class of fault: a limit that holds for all senders together and that no sender knows or shares. Ways weighed: equal shares for all instances (a share of 0.02 requests a second at 195 instances is unusable, and equal shares that start together exceed the limit); a few senders a server, as for cold servers (their callers' objects are not the ones that the server has cached); one coordinator a server, which grants permits. The last is built: the coordinator is a ready instance of the server's own zone, found by rendezvous hashing, so whoever can reach the server can reach it. Limits and their ends spread by permit messages and heartbeats. Home weights and queue estimates count what a limit allows.

--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -84,6 +84,8 @@
     Duration unresponsiveTimeout {}; ///< Time without a response after which the server counts as unresponsive.
     RateLimitState rateLimit;
     unsigned sentWhileLimited = 0; ///< Requests of this instance since the last summary line.
+    PermitBucket permits; ///< Used while this instance coordinates the server's rate limit.
+    TimePoint permitRetryAt {}; ///< No request before this time while the server has a rate limit.
     TimePoint lastColdSend {}; ///< Last request sent while the server was cold, for the rate limit.
 };
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -57,6 +57,18 @@
 /// The load reported by an instance of the same zone expires after four missed heartbeats at the shortest interval.
 constexpr milliseconds neighbourLoadLifetime { 1000 };
 
+/// Maximum time for a coordinator's reply beyond the round trip to the server, which is in the same zone.
+constexpr milliseconds permitReplyAllowance { 150 };
+
+/// A server whose coordinator does not reply gets no requests for this time.
+constexpr milliseconds silentCoordinatorBackoff { 1000 };
+
+/// The same after the reply of an instance that does not consider itself the coordinator.
+constexpr milliseconds foreignPermitBackoff { 300 };
+
+/// The end of a limit is repeated in all heartbeats sent within this time, since single heartbeats may be lost.
+constexpr seconds endedLimitRepeatTime { 5 };
+
 /// Interval of the log lines that summarize the placements of each route.
 constexpr seconds summaryInterval { 5 };
 
@@ -136,6 +148,7 @@
     const Route* route = nullptr;
     std::string service;
     std::shared_ptr<RouteState> state; ///< Outlives a change of the configuration.
+    TimePoint permitUntil {}; ///< When the permit for the current attempt lapses, at a server with a rate limit.
     TimePoint deadline {}; ///< The earlier of the caller's and the route's, minus the response margin.
     TimePoint target {}; ///< When the route's target latency ends.
     std::uint64_t object = 0; ///< Hash of route and affinity key; 0 without affinity.
@@ -181,6 +194,7 @@
     , settings(std::move(forwarderSettings))
     , catalog(std::move(serverCatalog))
     , tracker(systemSeededRandom()())
+    , permits(std::make_shared<PermitClient>(this->executor))
     , random(systemSeededRandom())
 {
     this->catalog->onRemoved = [this](const ServerPointer& server) { this->connections.closeIdle(server); };
@@ -346,7 +360,7 @@
     double slots = 0;
     for (const ServerPointer& server : job.servers) {
         if (isUsable(*server) && server->locality != Locality::OtherRegion && now >= server->backoffUntil)
-            slots += server->entry.slots;
+            slots += slotsWithinRateLimit(server->rateLimit, server->entry.slots, job.state->processingTime.cached);
     }
     // The queued requests of the other instances of the zone compete for the same slots.
     const auto instances = static_cast<double>(std::max<std::size_t>(1, this->zoneInstanceCount));
@@ -478,13 +492,15 @@
                     "no backend server of service {} is expected to respond before the deadline", job.service);
             break;
         }
-        if (job.attemptsSent > 0 && !this->budgetOf(job.service).takeExtraAttempt(now)) {
+        const ServerPointer server = job.servers[*placement.server];
+        if (server->rateLimit.perSecond && !co_await this->obtainPermit(job, server))
+            continue;
+        if (job.attemptsSent > 0 && !this->budgetOf(job.service).takeExtraAttempt(Clock::now())) {
             if (!job.mayHaveRun)
                 last = makeError(
                     ResultCode::NotRunRetryBudget, "the retry budget of service {} is exhausted", job.service);
             break;
         }
-        const ServerPointer server = job.servers[*placement.server];
         const std::optional<ServerResponse> response = co_await this->attempt(job, server, placement.estimate);
         if (!response) {
             last = makeError(
@@ -559,8 +575,8 @@
         job.connecting += Clock::now() - connectStart;
         context->onCancel = {};
         // The server may have become unusable or cold during the connect.
-        const bool isStillEligible
-            = isUsable(*server) && (wasCold || !isCold(*server, Clock::now())) && !this->isHeld(Clock::now());
+        const bool isStillEligible = isUsable(*server) && (wasCold || !isCold(*server, Clock::now()))
+            && !this->isHeld(Clock::now()) && (!server->rateLimit.perSecond || Clock::now() < job.permitUntil);
         if (!connected || context->isCancelled || context->isAborted || !isStillEligible) {
             connection->close();
             --server->inFlight;
@@ -610,8 +626,11 @@
     this->counters.recordServerAttempt(job.service, std::string(attemptEndName(response.end)));
     if (response.isMisdirected)
         server->backoffUntil = now + misdirectedBackoff;
-    if (response.rateLimit)
-        this->mergeServerLimit(server, *response.rateLimit, "response");
+    if (response.rateLimit && this->mergeServerLimit(server, *response.rateLimit, "response")
+        && this->permitCoordinator) {
+        if (const auto coordinator = this->permitCoordinator(*server))
+            this->permits->report(*coordinator, server->entry.id, server->rateLimit);
+    }
     if (response.load) {
         server->report = *response.load;
         server->report.localInFlight = server->inFlight + 1;
@@ -637,6 +656,8 @@
     if (loadAtSend >= server->entry.slots || (response.load && response.load->waiting > 0))
         return; // The measured time may include time in the server's queue.
     const Duration took = now - sentAt;
+    Duration& serviceTime = this->processingTimeByService[job.service];
+    serviceTime += scaled(took - serviceTime, serviceTime == Duration {} ? 1.0 : slowdownWeight);
     const Duration processingTime = std::max<Duration>(took - server->connectTime, milliseconds(1));
     const Duration usual = job.state->processingTime.of(expected.cacheAffinity);
     const double ratio = std::chrono::duration<double>(processingTime) / std::chrono::duration<double>(usual);
@@ -650,6 +671,7 @@
     const std::optional<double> before = server->rateLimit.perSecond;
     if (!mergeRateLimit(server->rateLimit, limit))
         return false;
+    this->rateLimitedServers.insert(server->entry.id);
     // Changes of the value alone may come with each response.
     if (before.has_value() != limit.perSecond.has_value()) {
         logInfo(limit.perSecond ? "rate_limit_started" : "rate_limit_ended",
@@ -659,6 +681,91 @@
     return true;
 }
 
+PermitReply Forwarder::decidePermit(BackendServer& server, TimePoint now)
+{
+    PermitReply reply;
+    reply.limit = server.rateLimit;
+    if (!server.rateLimit.perSecond) {
+        reply.isGranted = true;
+        return reply;
+    }
+    const PermitDecision decision
+        = takePermit(server.permits, *server.rateLimit.perSecond, now < this->permitHandoverEnd, now);
+    reply.isGranted = decision.isGranted;
+    reply.retryAfter = decision.retryAfter;
+    return reply;
+}
+
+PermitReply Forwarder::answerPermitRequest(const PermitRequest& request, TimePoint now)
+{
+    PermitReply reply { .number = request.number, .retryAfter = foreignPermitBackoff, .limit = request.limit };
+    const ServerPointer server = this->catalog->find(request.server);
+    if (!server)
+        return reply;
+    this->mergeServerLimit(server, request.limit, "instance");
+    reply.limit = server->rateLimit;
+    const bool isCoordinator = this->permitCoordinator && !this->permitCoordinator(*server);
+    if (request.number == 0 || !isCoordinator)
+        return reply;
+    reply = this->decidePermit(*server, now);
+    reply.number = request.number;
+    return reply;
+}
+
+void Forwarder::recordRateLimits(const std::map<std::string, RateLimitState>& limits)
+{
+    for (const auto& [id, limit] : limits) {
+        if (const ServerPointer server = this->catalog->find(id))
+            this->mergeServerLimit(server, limit, "heartbeat");
+    }
+}
+
+std::map<std::string, RateLimitState> Forwarder::coordinatedRateLimits(TimePoint now)
+{
+    std::map<std::string, RateLimitState> result;
+    std::erase_if(this->rateLimitedServers, [&](const std::string& id) {
+        const ServerPointer server = this->catalog->find(id);
+        const bool isOver
+            = !server || (!server->rateLimit.perSecond && now - server->rateLimit.asOf > endedLimitRepeatTime);
+        if (!isOver && this->permitCoordinator && !this->permitCoordinator(*server))
+            result[id] = server->rateLimit;
+        return isOver;
+    });
+    return result;
+}
+
+Awaitable<bool> Forwarder::obtainPermit(Job& job, const ServerPointer& server)
+{
+    const auto self = this->shared_from_this();
+    const auto context = job.context;
+    const std::optional<HostPort> coordinator
+        = this->permitCoordinator ? this->permitCoordinator(*server) : std::nullopt;
+    const TimePoint askedAt = Clock::now();
+    PermitReply reply;
+    if (!coordinator) {
+        reply = this->decidePermit(*server, askedAt);
+    } else {
+        const std::function<void(std::function<void()>)> setCancel
+            = [context](std::function<void()> cancel) { context->onCancel = std::move(cancel); };
+        const Duration timeout = permitReplyAllowance + 2 * server->connectTime;
+        const std::optional<PermitReply> received = co_await this->permits->ask(
+            *coordinator, server->entry.id, server->rateLimit, std::min(timeout, job.deadline - askedAt), setCancel);
+        if (received)
+            this->mergeServerLimit(server, received->limit, "coordinator");
+        reply = received.value_or(PermitReply { .number = 0, .retryAfter = silentCoordinatorBackoff, .limit = {} });
+    }
+    this->counters.recordPermit(job.service, reply.isGranted);
+    const TimePoint now = Clock::now();
+    if (!reply.isGranted) {
+        server->permitRetryAt = std::max(server->permitRetryAt, now + reply.retryAfter);
+        co_return false;
+    }
+    job.permitUntil = askedAt + permitLifetime;
+    // The server may have become unusable or cold during the wait, or have got another request while cold.
+    co_return !context->isCancelled && !context->isAborted && now < job.deadline && isUsable(*server)
+        && now >= server->backoffUntil && this->mayUseCold(*server, now) && !this->isHeld(now);
+}
+
 void Forwarder::onConnectFailure(const ServerPointer& server, TimePoint now)
 {
     // A server that restarts under its old id is cold before its entry in the store reports it.
@@ -843,7 +950,8 @@
                 continue;
             if (server->locality != Locality::OtherRegion)
                 localLoad += outstandingRequests(*server, now);
-            regions[server->region].slots += server->entry.slots;
+            regions[server->region].slots
+                += slotsWithinRateLimit(server->rateLimit, server->entry.slots, this->processingTimeByService[name]);
         }
         const double localSlots = regions[this->settings.region].slots;
         std::map<std::string, double> utilizationByRegion;
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "forwarding/configuration.h"
 #include "forwarding/forwardingmetrics.h"
+#include "forwarding/permitclient.h"
 #include "forwarding/placement.h"
 #include "forwarding/regionspill.h"
 #include "forwarding/requestqueue.h"
@@ -94,6 +95,19 @@
     /// Utilization of the local region by service, reported to the other regions.
     std::map<std::string, double> regionUtilization() const;
 
+    /// The instance that hands out the permits under a server's rate limit, or nothing if that is this one. Without the
+    /// function, this instance hands out all of its own.
+    std::function<std::optional<HostPort>(const BackendServer&)> permitCoordinator;
+    PermitClient& permitClient() { return *this->permits; }
+    /// Decides on another instance's request for a permit. Denied when this instance is not the coordinator.
+    PermitReply answerPermitRequest(const PermitRequest& request, TimePoint now);
+    /// Applies the rate limits of a coordinator's heartbeat.
+    void recordRateLimits(const std::map<std::string, RateLimitState>& limits);
+    /// Rate limits of the servers that this instance coordinates, for its heartbeats.
+    std::map<std::string, RateLimitState> coordinatedRateLimits(TimePoint now);
+    /// From this time on, all instances know this one and ask it for permits.
+    void setPermitHandoverEnd(TimePoint end) { this->permitHandoverEnd = end; }
+
     /// Called when the process was paused for so long that its knowledge of the backend servers may be outdated. Until
     /// confirmKnowledge() is called, or for a limited time if it is not, requests are not sent.
     std::function<void()> onPaused;
@@ -152,8 +166,11 @@
         Job& job, const ServerPointer& server, const CompletionEstimate& expected);
     void recordAttemptResult(Job& job, const ServerPointer& server, const CompletionEstimate& expected,
         const ServerResponse& response, unsigned loadAtSend, TimePoint sentAt);
+    /// Obtains a permit if the server has a rate limit. Without one, the server is excluded for some time.
+    Awaitable<bool> obtainPermit(Job& job, const ServerPointer& server);
     /// Adopts a newer state of the server's limit and logs a change. Returns whether it changed.
     bool mergeServerLimit(const ServerPointer& server, const RateLimitState& limit, std::string_view source);
+    PermitReply decidePermit(BackendServer& server, TimePoint now);
     void onConnectFailure(const ServerPointer& server, TimePoint now);
     void onServerCrash(const ServerPointer& server, TimePoint now);
     bool shouldRetry(const Job& job, const ServerResponse& response, TimePoint now);
@@ -196,6 +213,10 @@
     std::map<std::string, std::size_t> instancesByRegion;
     std::size_t instanceCount = 1;
     std::size_t zoneInstanceCount = 1;
+    std::shared_ptr<PermitClient> permits;
+    std::set<std::string> rateLimitedServers; ///< With a limit, or one that ended a short time ago.
+    TimePoint permitHandoverEnd {};
+    std::map<std::string, Duration> processingTimeByService; ///< Moving averages.
     Random random;
     ForwardingMetrics counters;
 };
--- a/src/libs/forwarding/forwardingmetrics.cpp
+++ b/src/libs/forwarding/forwardingmetrics.cpp
@@ -26,6 +26,8 @@
           "Sends to backend servers by service and end."))
     , placements(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry,
           "clementinefall_placements_total", "Placements by whether the server recently handled the object."))
+    , permits(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry, "clementinefall_permits_total",
+          "Requests for permits at backend servers with a rate limit, by service and result."))
     , storeCalls(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry,
           "clementinefall_store_calls_total", "Calls to the platform's store by kind of object."))
     , latencies(family<prometheus::Histogram>(prometheus::BuildHistogram(), *this->registry,
@@ -65,6 +67,15 @@
     counter->Increment();
 }
 
+void ForwardingMetrics::recordPermit(const std::string& service, bool isGranted)
+{
+    const char* result = isGranted ? "granted" : "denied";
+    auto& counter = this->counterCache[fmt::format("l/{}/{}", service, result)];
+    if (counter == nullptr)
+        counter = &this->permits.Add({ { "service", service }, { "result", result } });
+    counter->Increment();
+}
+
 void ForwardingMetrics::recordStoreCall(const std::string& kind, bool succeeded)
 {
     auto& counter = this->counterCache[fmt::format("s/{}/{}", kind, succeeded)];
--- a/src/libs/forwarding/forwardingmetrics.h
+++ b/src/libs/forwarding/forwardingmetrics.h
@@ -23,6 +23,8 @@
     void recordRequest(const std::string& route, ResultCode code, unsigned status, Duration latency);
     void recordServerAttempt(const std::string& service, const std::string& end);
     void recordPlacement(bool isCached);
+    /// Records a request for a permit under the rate limit of a backend server.
+    void recordPermit(const std::string& service, bool isGranted);
     void recordStoreCall(const std::string& kind, bool succeeded);
     void setGauge(const std::string& name, double value);
 
@@ -34,6 +36,7 @@
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Counter>& attempts;
     prometheus::Family<prometheus::Counter>& placements;
+    prometheus::Family<prometheus::Counter>& permits;
     prometheus::Family<prometheus::Counter>& storeCalls;
     prometheus::Family<prometheus::Histogram>& latencies;
     prometheus::Family<prometheus::Gauge>& gauges;
--- a/src/libs/forwarding/heartbeat.cpp
+++ b/src/libs/forwarding/heartbeat.cpp
@@ -74,6 +74,41 @@
     return result;
 }
 
+/// As `"server":[age in ms, requests per second]`, without the latter when the limit has ended.
+json::object writeRateLimits(
+    const std::map<std::string, RateLimitState>& limits, TimePoint now, std::size_t maximumBytes)
+{
+    constexpr std::string_view envelope = R"(,"limits":{})";
+    std::size_t bytes = envelope.size();
+    json::object result;
+    for (const auto& [server, limit] : limits) {
+        json::array entry { std::chrono::duration_cast<milliseconds>(now - limit.asOf).count() };
+        if (limit.perSecond)
+            entry.emplace_back(*limit.perSecond);
+        constexpr std::size_t punctuationBytes = 4;
+        bytes += server.size() + json::serialize(entry).size() + punctuationBytes;
+        if (bytes > maximumBytes)
+            break;
+        result[server] = std::move(entry);
+    }
+    return result;
+}
+
+std::map<std::string, RateLimitState> readRateLimits(const json::object& limits, TimePoint now)
+{
+    std::map<std::string, RateLimitState> result;
+    for (const auto& item : limits) {
+        const json::array& entry = item.value().as_array();
+        RateLimitState limit { .perSecond = {}, .asOf = now - milliseconds(entry.at(0).to_number<std::uint32_t>()) };
+        if (entry.size() > 1)
+            limit.perSecond = entry.at(1).to_number<double>();
+        if (limit.perSecond && !(*limit.perSecond >= 0 && std::isfinite(*limit.perSecond)))
+            throw std::invalid_argument("limits");
+        result[std::string(item.key())] = limit;
+    }
+    return result;
+}
+
 } // namespace
 
 std::string encodeHeartbeat(const Heartbeat& heartbeat, TimePoint now)
@@ -96,6 +131,8 @@
             marks.push_back(writeMark(mark, now));
         addIfFits("crashes", std::move(marks));
     }
+    if (!heartbeat.rateLimits.empty())
+        addIfFits("limits", writeRateLimits(heartbeat.rateLimits, now, maximumHeartbeatBytes - text.size()));
     if (!heartbeat.regionUtilization.empty()) {
         json::object utilizations;
         for (const auto& [service, utilization] : heartbeat.regionUtilization)
@@ -135,6 +172,8 @@
             for (const json::value& mark : marks->as_array())
                 heartbeat.crashMarks.push_back(readMark(mark.as_object(), now));
         }
+        if (const json::value* limits = message.if_contains("limits"))
+            heartbeat.rateLimits = readRateLimits(limits->as_object(), now);
         return heartbeat;
     } catch (const std::exception& error) {
         return makeError(ResultCode::PeerBadMessage, "malformed heartbeat: {}", error.what());
--- a/src/libs/forwarding/heartbeat.h
+++ b/src/libs/forwarding/heartbeat.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "forwarding/ratelimit.h"
 #include "requests/quarantine.h"
 
 #include <cstdint>
@@ -22,6 +23,8 @@
     std::map<std::string, double> regionUtilization; ///< Utilization of its region's slots, by service.
     std::map<std::string, unsigned> inFlight; ///< Requests per backend server; sent to the local zone only.
     std::vector<requests::CrashMark> crashMarks; ///< Recently observed crashes.
+    /// Rate limits of the backend servers that the instance coordinates, and limits that ended a short time ago.
+    std::map<std::string, RateLimitState> rateLimits;
 };
 
 /// Maximum size of an encoded heartbeat; fits in one datagram on usual links.
--- a/src/libs/forwarding/heartbeatexchange.cpp
+++ b/src/libs/forwarding/heartbeatexchange.cpp
@@ -57,15 +57,27 @@
     this->socket.close(ignored);
 }
 
-void HeartbeatExchange::send(const InstanceInfo& target, const std::string& text)
+void HeartbeatExchange::sendTo(const HostPort& instance, const std::string& text)
 {
     beast::error_code error;
-    const udp::endpoint endpoint(asio::ip::make_address(target.heartbeats.host, error), target.heartbeats.port);
+    const udp::endpoint endpoint(asio::ip::make_address(instance.host, error), instance.port);
     if (!error)
         this->socket.send_to(asio::buffer(text), endpoint, 0, error);
-    // Counts as a lost heartbeat, which the liveness timeout of the receiver allows for.
+    // Counts as a lost message, which the receivers allow for.
     if (error)
-        logDebug("beat_not_sent", { { "to", target.name }, { "error", error.message() } });
+        logDebug("beat_not_sent", { { "to", instance.text() }, { "error", error.message() } });
+}
+
+void HeartbeatExchange::receivePermitMessage(std::string_view text, const udp::endpoint& sender, TimePoint now)
+{
+    const HostPort from { sender.address().to_string(), sender.port() };
+    const Result<PermitMessage> message = decodePermitMessage(text, now);
+    if (!isOk(message)) {
+        logWarning("permit_message_rejected", { { "from", from.text() }, { "why", errorOf(message).text() } });
+        return;
+    }
+    if (this->onPermitMessage)
+        this->onPermitMessage(valueOf(message), from);
 }
 
 void HeartbeatExchange::sendDue(const Heartbeat& heartbeat, TimePoint now)
@@ -81,7 +93,7 @@
         if (now - last + milliseconds(20) < heartbeatInterval(this->timing, isSameZone, others.size()))
             continue;
         last = now;
-        this->send(target, isSameZone ? fullText : withoutLoadText);
+        this->sendTo(target.heartbeats, isSameZone ? fullText : withoutLoadText);
     }
 }
 
@@ -89,7 +101,7 @@
 {
     const std::string text = encodeHeartbeat(heartbeat, now);
     for (const InstanceInfo& target : this->table->others())
-        this->send(target, text);
+        this->sendTo(target.heartbeats, text);
 }
 
 Awaitable<void> HeartbeatExchange::receiveLoop()
@@ -104,7 +116,12 @@
         if (error)
             continue; // For example, the port of a stopped instance is unreachable.
         const TimePoint now = Clock::now();
-        const Result<Heartbeat> heartbeat = decodeHeartbeat({ this->datagram.data(), bytes }, now);
+        const std::string_view text { this->datagram.data(), bytes };
+        if (isPermitMessage(text)) {
+            this->receivePermitMessage(text, sender, now);
+            continue;
+        }
+        const Result<Heartbeat> heartbeat = decodeHeartbeat(text, now);
         if (!isOk(heartbeat)) {
             logWarning(
                 "beat_rejected", { { "from", sender.address().to_string() }, { "why", errorOf(heartbeat).text() } });
--- a/src/libs/forwarding/heartbeatexchange.h
+++ b/src/libs/forwarding/heartbeatexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/instancetable.h"
+#include "forwarding/permitmessage.h"
 #include "http/awaitable.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -39,12 +40,18 @@
     /// Sends to every instance immediately, when this instance starts or stops.
     void sendToAll(const Heartbeat& heartbeat, TimePoint now);
 
+    /// Sends \a text to the socket of another instance. It may be lost, like a heartbeat.
+    void sendTo(const HostPort& instance, const std::string& text);
+
+    /// Called with each permit message and the address of its sender.
+    std::function<void(const PermitMessage&, const HostPort& from)> onPermitMessage;
+
     /// Called with each heartbeat of a registered instance.
     std::function<void(const Heartbeat&)> onHeartbeat;
 
 private:
     Awaitable<void> receiveLoop();
-    void send(const InstanceInfo& target, const std::string& text);
+    void receivePermitMessage(std::string_view text, const asio::ip::udp::endpoint& sender, TimePoint now);
 
     asio::any_io_executor executor;
     std::shared_ptr<InstanceTable> table;
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -109,8 +109,8 @@
     return result;
 }
 
-std::vector<HostPort> InstanceTable::callerAddresses(
-    const std::string& zone, const std::string& region, bool isSelfReady, std::size_t maximum, TimePoint now) const
+std::vector<const InstanceInfo*> InstanceTable::readyNear(
+    const std::string& zone, const std::string& region, bool isSelfReady, TimePoint now) const
 {
     std::vector<const InstanceInfo*> ready;
     if (isSelfReady)
@@ -127,8 +127,27 @@
     std::vector<const InstanceInfo*> chosen = select([&](const auto* info) { return info->zone == zone; });
     if (chosen.empty())
         chosen = select([&](const auto* info) { return info->region == region; });
-    if (chosen.empty())
-        chosen = ready;
+    return chosen.empty() ? ready : chosen;
+}
+
+std::optional<InstanceInfo> InstanceTable::permitCoordinator(const std::string& serverId, const std::string& zone,
+    const std::string& region, bool isSelfReady, TimePoint now) const
+{
+    const std::vector<const InstanceInfo*> candidates = this->readyNear(zone, region, isSelfReady, now);
+    if (candidates.empty())
+        return std::nullopt;
+    std::vector<std::string> names;
+    names.reserve(candidates.size());
+    for (const InstanceInfo* candidate : candidates)
+        names.push_back(candidate->name);
+    const InstanceInfo* coordinator = candidates[coordinatorIndex(serverId, names)];
+    return coordinator == &this->localInfo ? std::nullopt : std::optional(*coordinator);
+}
+
+std::vector<HostPort> InstanceTable::callerAddresses(
+    const std::string& zone, const std::string& region, bool isSelfReady, std::size_t maximum, TimePoint now) const
+{
+    std::vector<const InstanceInfo*> chosen = this->readyNear(zone, region, isSelfReady, now);
     if (chosen.size() > maximum) {
         // The order depends only on the zone: responses of all instances agree, and zones get different subsets.
         const std::uint64_t seed = hash64(zone);
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -4,6 +4,7 @@
 #include "forwarding/heartbeat.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,12 @@
     std::size_t liveCount(TimePoint now) const;
     std::map<std::string, std::size_t> liveCountByRegion(TimePoint now) const;
 
+    /// The instance that hands out the permits of a backend server in \a zone of \a region, or nothing if that is this
+    /// one: a ready instance of the server's zone, or else of its region, or else of any. It can reach the server if
+    /// any instance can. \a isSelfReady tells whether this instance may be chosen.
+    std::optional<InstanceInfo> permitCoordinator(const std::string& serverId, const std::string& zone,
+        const std::string& region, bool isSelfReady, TimePoint now) const;
+
     /// Addresses for callers in \a zone of \a region: the ready instances of the zone, or else of the region, or else
     /// all; at most \a maximum. \a isSelfReady tells whether this instance accepts new callers.
     std::vector<HostPort> callerAddresses(
@@ -68,6 +75,10 @@
         TimePoint lastHeartbeat {};
     };
 
+    /// The ready instances of \a zone, or else of \a region, or else all.
+    std::vector<const InstanceInfo*> readyNear(
+        const std::string& zone, const std::string& region, bool isSelfReady, TimePoint now) const;
+
     bool isLive(const RegisteredInstance& entry, TimePoint now) const
     {
         return now - entry.lastHeartbeat < livenessTimeout;
--- /dev/null
+++ b/src/libs/forwarding/permitmessage.cpp
@@ -0,0 +1,82 @@
+#include "forwarding/permitmessage.h"
+
+#include <boost/json.hpp>
+
+#include <cmath>
+
+namespace clementinefall::forwarding {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Starts each message, which distinguishes it from a heartbeat.
+constexpr std::string_view prefix = R"({"permit":")";
+
+std::int64_t toMs(Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); }
+
+void writeLimit(json::object& message, const RateLimitState& limit, TimePoint now)
+{
+    if (limit.perSecond)
+        message["limit"] = *limit.perSecond;
+    message["age_ms"] = toMs(now - limit.asOf);
+}
+
+RateLimitState readLimit(const json::object& message, TimePoint now)
+{
+    RateLimitState limit;
+    limit.asOf = now - milliseconds(message.at("age_ms").to_number<std::uint32_t>());
+    if (const json::value* perSecond = message.if_contains("limit")) {
+        limit.perSecond = perSecond->to_number<double>();
+        if (!std::isfinite(*limit.perSecond) || *limit.perSecond < 0)
+            throw std::invalid_argument("limit");
+    }
+    return limit;
+}
+
+} // namespace
+
+bool isPermitMessage(std::string_view text) { return text.starts_with(prefix); }
+
+std::string encodePermitMessage(const PermitMessage& message, TimePoint now)
+{
+    json::object document;
+    if (const auto* request = std::get_if<PermitRequest>(&message)) {
+        document["permit"] = "request";
+        document["number"] = request->number;
+        document["server"] = request->server;
+        writeLimit(document, request->limit, now);
+    } else {
+        const auto& reply = std::get<PermitReply>(message);
+        document["permit"] = "reply";
+        document["number"] = reply.number;
+        document["granted"] = reply.isGranted;
+        document["retry_ms"] = toMs(reply.retryAfter);
+        writeLimit(document, reply.limit, now);
+    }
+    return json::serialize(document);
+}
+
+Result<PermitMessage> decodePermitMessage(std::string_view text, TimePoint now)
+{
+    try {
+        const json::value value = json::parse({ text.data(), text.size() });
+        const json::object& document = value.as_object();
+        const std::string_view type = document.at("permit").as_string();
+        if (type == "request") {
+            return PermitMessage { PermitRequest { .number = document.at("number").to_number<std::uint64_t>(),
+                .server = std::string(document.at("server").as_string()),
+                .limit = readLimit(document, now) } };
+        }
+        if (type != "reply")
+            return makeError(ResultCode::PeerBadMessage, "unknown permit message");
+        return PermitMessage { PermitReply { .number = document.at("number").to_number<std::uint64_t>(),
+            .isGranted = document.at("granted").as_bool(),
+            .retryAfter = milliseconds(document.at("retry_ms").to_number<std::uint32_t>()),
+            .limit = readLimit(document, now) } };
+    } catch (const std::exception& error) {
+        return makeError(ResultCode::PeerBadMessage, "malformed permit message: {}", error.what());
+    }
+}
+
+} // namespace clementinefall::forwarding
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -31,6 +31,9 @@
 /// Cost of a server that fails all requests, as a multiple of the route's processing time.
 constexpr double failureCostFactor = 12.0;
 
+/// Weight of a server whose limit allows almost no requests.
+constexpr double minimumHomeWeight = 0.01;
+
 /// Slowdown that is assumed for a cold server unless a larger one was measured.
 constexpr double coldSlowdown = 2.0;
 
@@ -180,6 +183,8 @@
         return ExclusionReason::Suspect;
     if (isCold(server, now) && !mayUseCold)
         return ExclusionReason::ColdLimit;
+    if (server.rateLimit.perSecond && now < server.permitRetryAt)
+        return ExclusionReason::RateLimited;
     const bool isLate = request.targetTimeLeft < request.processingTime.cached;
     const double probability = cacheProbability(server, request, now);
     if (request.isLowPriority) {
@@ -219,9 +224,11 @@
         const bool isCloserThanHome = home && isCloser(server, *servers[*home], request);
         if (home && isCloser(*servers[*home], server, request))
             continue;
-        // Weighted rendezvous hashing: the least -ln(u) / weight wins; the weight is the number of slots.
+        // Weighted rendezvous hashing: the least -ln(u) / weight wins; the weight is the number of slots. A server that
+        // names a limit is home to no more objects than it can serve.
+        const double weight = slotsWithinRateLimit(server.rateLimit, server.entry.slots, request.processingTime.home);
         const double unit = std::max(unitHash(server.entry.id, request.object), 1e-12);
-        const double score = -std::log(unit) / std::max(1U, server.entry.slots);
+        const double score = -std::log(unit) / std::max(minimumHomeWeight, weight);
         if (!home || isCloserThanHome || score < best) {
             home = i;
             best = score;
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -60,6 +60,7 @@
     Unusable, ///< See isUsable().
     Suspect, ///< In backoff, or it has not responded in time.
     ColdLimit, ///< Cold, and this instance may not send to it now.
+    RateLimited, ///< No permit under its rate limit.
     QueueFull,
     OtherRegion, ///< The request may not leave the region.
 };
--- a/src/libs/forwarding/ratelimit.cpp
+++ b/src/libs/forwarding/ratelimit.cpp
@@ -1,10 +1,27 @@
 #include "forwarding/ratelimit.h"
 
+#include "base/durations.h"
+#include "base/hash.h"
+
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
 namespace clementinefall::forwarding {
 
+namespace {
+
+/// Requests are sent at this rate at least. Without any, the end of a limit would never be noticed.
+constexpr double minimumPerSecond = 0.2;
+
+/// Part of the limit that is granted while another instance may still coordinate the same server.
+constexpr double handoverFraction = 0.3;
+
+/// Longest time until a denied request for a permit is repeated.
+constexpr milliseconds maximumRetryAfter { 2000 };
+
+} // namespace
+
 std::optional<double> parseRateLimit(std::string_view text)
 {
     double value = 0;
@@ -28,4 +45,45 @@
     return { .perSecond = perSecond, .asOf = perSecond ? receivedAt : sentAt };
 }
 
+PermitDecision takePermit(PermitBucket& bucket, double perSecond, bool isHandedOver, TimePoint now)
+{
+    const double rate = std::max(minimumPerSecond, perSecond * (isHandedOver ? handoverFraction : 1.0));
+    const Duration interval = fromSeconds(1.0 / rate);
+    // At least one permit is kept, otherwise a rate below the inverse of the burst time would never be granted.
+    const Duration tolerance = std::max<Duration>(permitBurstTime - interval, Duration {});
+    if (bucket.createdAt == TimePoint {}) {
+        bucket.createdAt = now;
+        bucket.theoreticalArrival = now + tolerance + interval;
+    }
+    // A limit that fell leaves at most the permits of the burst time.
+    const Duration untilNext = bucket.theoreticalArrival - tolerance - now;
+    if (untilNext <= Duration {}) {
+        bucket.theoreticalArrival = std::max(bucket.theoreticalArrival, now) + interval;
+        return { .isGranted = true };
+    }
+    // Instances that are denied at the same time are told to ask again one after the other.
+    const TimePoint retryAt = std::max(now + untilNext, bucket.queuedUntil);
+    if (retryAt - now < maximumRetryAfter)
+        bucket.queuedUntil = retryAt + interval;
+    return { .retryAfter = std::min<Duration>(retryAt - now, maximumRetryAfter) };
+}
+
+double slotsWithinRateLimit(const RateLimitState& state, unsigned slots, Duration processingTime)
+{
+    const double all = std::max(1U, slots);
+    if (!state.perSecond)
+        return all;
+    const double used = *state.perSecond * std::chrono::duration<double>(processingTime).count();
+    return std::min(all, used);
+}
+
+std::size_t coordinatorIndex(std::string_view serverId, std::span<const std::string> instances)
+{
+    const std::uint64_t seed = hash64(serverId);
+    const auto precedes = [seed](const std::string& left, const std::string& right) {
+        return hash64(left, seed) > hash64(right, seed);
+    };
+    return static_cast<std::size_t>(std::min_element(instances.begin(), instances.end(), precedes) - instances.begin());
+}
+
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/ratelimit.h
+++ b/src/libs/forwarding/ratelimit.h
@@ -3,9 +3,14 @@
 #include "base/clock.h"
 
 #include <optional>
+#include <span>
+#include <string>
 #include <string_view>
 
-/// Request rate limits that backend servers in need state in their responses.
+/// Request rate limits that backend servers in need state in their responses. A limit applies to the requests of all
+/// entry instances together, so one of them, the coordinator of the server, hands out permits. It answers the load of
+/// a fleet in which each instance sends a server few requests: static shares of a limit would be too small to use, and
+/// instances that each apply the whole limit would exceed it by their number.
 namespace clementinefall::forwarding {
 
 /// What is known about the rate limit of a backend server.
@@ -24,4 +29,37 @@
 /// had ended after \a sentAt, since it may have been created before the limit was stated in another response.
 RateLimitState observedRateLimit(std::optional<double> perSecond, TimePoint sentAt, TimePoint receivedAt);
 
+/// Permits of one server at its coordinator, by the generic cell rate algorithm.
+struct PermitBucket {
+    TimePoint theoreticalArrival {}; ///< When all permits granted so far would have been used at the stated rate.
+    TimePoint createdAt {}; ///< Of the first request for a permit; unset before.
+    TimePoint queuedUntil {}; ///< When all denied requests would have been granted, if they asked again.
+};
+
+struct PermitDecision {
+    bool isGranted = false;
+    Duration retryAfter {}; ///< When the next request for a permit is likely to be granted, if this one is not.
+};
+
+/// Unused permits are kept for this time, to follow the irregular arrival of requests.
+inline constexpr milliseconds permitBurstTime { 500 };
+
+/// Decides on one request. The bucket starts empty, as the coordinator before may just have used up the limit. While
+/// instances may still ask another coordinator, \a isHandedOver is set, and only part of the limit is granted.
+PermitDecision takePermit(PermitBucket& bucket, double perSecond, bool isHandedOver, TimePoint now);
+
+/// Time after its start for which an instance grants only part of the limits that it coordinates. By its end, all
+/// others have read its registration from the store.
+inline constexpr seconds permitHandoverTime { 3 };
+
+/// A permit that was not used within this time has lapsed, so that delayed requests do not add up.
+inline constexpr seconds permitLifetime { 1 };
+
+/// Requests per second that a server can take, expressed as slots: less than \a slots with a limit under which the
+/// slots cannot all be in use with requests that take \a processingTime.
+double slotsWithinRateLimit(const RateLimitState& state, unsigned slots, Duration processingTime);
+
+/// Index of the coordinator for \a serverId among the names of instances, by rendezvous hashing; 0 for an empty list.
+std::size_t coordinatorIndex(std::string_view serverId, std::span<const std::string> instances);
+
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -1,15 +1,14 @@
 #include "forwarding/callerserver.h"
+#include "forwarding/scriptedserver.h"
 #include "forwarding/testwirenames.h"
 
 #include "base/random.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <functional>
-#include <list>
 
 using namespace clementinefall;
 using namespace clementinefall::forwarding;
@@ -17,138 +16,6 @@
 
 namespace {
 
-/// Reaction of a scripted backend server to one request.
-struct ScriptedResponse {
-    std::string bytes;
-    bool closes = false; ///< Closes the connection after the bytes.
-    bool resets = false; ///< Resets the connection after the bytes.
-    bool isHeld = false; ///< Sends nothing until release().
-    std::string repeated {}; ///< Sent again and again after the bytes, until the peer closes the connection.
-};
-
-/// A backend server that responds by a script and records the requests. One request at a time per connection.
-class ScriptedServer {
-public:
-    explicit ScriptedServer(asio::io_context& serverContext)
-        : acceptor(serverContext, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-    {
-        this->accept();
-    }
-
-    std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
-
-    std::function<ScriptedResponse(const std::string& request)> script;
-    std::vector<std::string> requests;
-    unsigned closedByPeer = 0;
-
-    /// Resets all connections.
-    void reset()
-    {
-        beast::error_code ignored;
-        for (auto& connection : this->connections) {
-            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-            connection->socket.close(ignored);
-        }
-    }
-
-    std::size_t repeatedBytes = 0; ///< Sent by endless responses.
-
-    void release()
-    {
-        for (auto& connection : this->connections) {
-            if (connection->isHeld) {
-                connection->isHeld = false;
-                this->sendResponse(connection);
-            }
-        }
-    }
-
-private:
-    struct Connection {
-        explicit Connection(tcp::socket accepted)
-            : socket(std::move(accepted))
-        {
-        }
-        tcp::socket socket;
-        std::string input;
-        ScriptedResponse response;
-        bool isHeld = false;
-    };
-    using ConnectionPointer = std::shared_ptr<Connection>;
-
-    void accept()
-    {
-        this->acceptor.async_accept([this](beast::error_code error, tcp::socket socket) {
-            if (error)
-                return;
-            this->connections.push_back(std::make_shared<Connection>(std::move(socket)));
-            this->read(this->connections.back());
-            this->accept();
-        });
-    }
-
-    void read(const ConnectionPointer& connection)
-    {
-        auto buffer = std::make_shared<std::array<char, 4096>>();
-        connection->socket.async_read_some(
-            asio::buffer(*buffer), [this, connection, buffer](beast::error_code error, std::size_t bytes) {
-                if (error) {
-                    ++this->closedByPeer;
-                    return;
-                }
-                connection->input.append(buffer->data(), bytes);
-                const std::size_t end = connection->input.find("\r\n\r\n");
-                if (end != std::string::npos) {
-                    this->requests.push_back(connection->input);
-                    connection->response = this->script(connection->input);
-                    connection->input.clear();
-                    connection->isHeld = connection->response.isHeld;
-                    if (!connection->isHeld)
-                        this->sendResponse(connection);
-                }
-                if (connection->socket.is_open())
-                    this->read(connection);
-            });
-    }
-
-    void sendResponse(const ConnectionPointer& connection)
-    {
-        beast::error_code ignored;
-        asio::write(connection->socket, asio::buffer(connection->response.bytes), ignored);
-        if (connection->response.resets)
-            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        if (connection->response.resets || connection->response.closes)
-            connection->socket.close(ignored);
-        if (!connection->response.repeated.empty())
-            this->repeat(connection);
-    }
-
-    void repeat(const ConnectionPointer& connection)
-    {
-        asio::async_write(connection->socket, asio::buffer(connection->response.repeated),
-            [this, connection](beast::error_code error, std::size_t bytes) {
-                this->repeatedBytes += bytes;
-                if (!error)
-                    this->repeat(connection);
-            });
-    }
-
-    tcp::acceptor acceptor;
-    std::list<ConnectionPointer> connections;
-};
-
-std::string idOf(const std::string& request)
-{
-    const std::size_t at = request.find("X-Id: ") + 6;
-    return request.substr(at, request.find('\r', at) - at);
-}
-
-std::string responseBytes(const std::string& id, const std::string& body, const std::string& fields = "X-Seal: s\r\n")
-{
-    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + fields + "Content-Length: " + std::to_string(body.size())
-        + "\r\n\r\n" + body;
-}
-
 std::string requestBytes(const std::string& id, const std::string& path, const std::string& method = "GET")
 {
     const std::string body = method == "GET" ? "" : "Content-Length: 2\r\n";
@@ -326,6 +193,22 @@
         CHECK(fixture.first.requests.empty());
     }
 
+    SECTION("does not reach a backend server beyond the rate limit that the server named")
+    {
+        fixture.addServer("s2", fixture.second.port());
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { responseBytes(idOf(request), "whole", "X-Seal: s\r\nX-Limit: 1\r\n") };
+        };
+        const TimePoint begin = Clock::now();
+        for (int i = 0; i < 60; ++i) {
+            const std::string id = "r" + std::to_string(i);
+            CHECK(fixture.exchange(requestBytes(id, "/safe/1"), "whole").starts_with("HTTP/1.1 200"));
+        }
+        REQUIRE(Clock::now() - begin < seconds(4));
+        CHECK(fixture.first.requests.size() >= 1);
+        CHECK(fixture.first.requests.size() <= 1.5 * 4 * 1 + 5);
+    }
+
     SECTION("never gets a late response to an earlier request on the same connection")
     {
         fixture.first.script = [](const std::string& request) {
