Tell a restored store from its own past by its era

Cause: revisions of the time before and after the restore were compared with each other. The class of fault: an order that holds within one history is taken for one across histories. A follower ahead of its zone's watcher got no changes until the new revisions had passed its own, and missed those in between; a direct watch whose revision exists again misses the same. An answer of a newer era holds no changes and makes the watcher list again, up to date, as after an outage; the relay names the era in calls and answers, and refuses a follower that is ahead of it. The log names the restore (store_restored). Why it works: positions of different eras are never ordered, so nothing between a copy and the present can be skipped.

--- a/src/libs/platform/changelog.cpp
+++ b/src/libs/platform/changelog.cpp
@@ -22,17 +22,18 @@
     return { std::move(object), value.at("removed").as_bool() };
 }
 
-void restartChangeLog(ChangeLog& log, std::uint64_t revision, bool afterOutage)
+void restartChangeLog(ChangeLog& log, StorePosition position, bool afterOutage)
 {
     log.entries.clear();
-    log.floor = revision;
-    log.revision = revision;
+    log.era = position.era;
+    log.floor = position.revision;
+    log.revision = position.revision;
     log.restartedAfterOutage = afterOutage;
 }
 
 void appendChanges(ChangeLog& log, const ChangeSet& changes)
 {
-    if (log.revision == 0 || changes.revision <= log.revision)
+    if (log.revision == 0 || changes.era != log.era || changes.revision <= log.revision)
         return;
     log.revision = changes.revision;
     for (const ObjectChange& change : changes.changes)
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -46,7 +46,7 @@
 {
     if (this->failures++ == 0) {
         logWarning("dependency_lost",
-            { { "dependency", "store" }, { "kind", this->kind }, { "revision", this->revision },
+            { { "dependency", "store" }, { "kind", this->kind }, { "revision", this->position.revision },
                 { "why", error.text() } });
     }
     if (this->onCall)
@@ -69,30 +69,51 @@
 {
     if (std::exchange(this->hasCaughtUp, true))
         return;
-    logInfo("store_caught_up", { { "kind", this->kind }, { "revision", this->revision } });
+    logInfo("store_caught_up", { { "kind", this->kind }, { "revision", this->position.revision } });
     if (this->onCaughtUp)
         this->onCaughtUp();
 }
 
+bool KindWatcher::detectRestore(std::uint64_t era)
+{
+    // A stale response may still be of an earlier era.
+    if (!this->hasListed || era <= this->position.era)
+        return false;
+    if (!std::exchange(this->sinceLastList.isAfterRestore, true)) {
+        logWarning("store_restored",
+            { { "kind", this->kind }, { "era", era }, { "before", this->position.era },
+                { "revision", this->position.revision } });
+        if (this->onRestored)
+            this->onRestored();
+    }
+    this->sinceLastList.isAfterOutage = true;
+    this->needsList = true;
+    return true;
+}
+
 Awaitable<bool> KindWatcher::listOnce()
 {
     // The first list may be stale, as the changes since its revision are read at once. A later stale list could bring
     // back objects whose removal was already seen.
     const bool isFirst = !this->hasListed;
-    const Freshness freshness = isFirst ? Freshness::AllowStale : this->options.freshness;
+    Freshness freshness = isFirst ? Freshness::AllowStale : this->options.freshness;
+    // A stale list could be from before the restore, and the store would be found restored again.
+    if (this->sinceLastList.isAfterRestore)
+        freshness = Freshness::Latest;
     const Result<ObjectSet> set = co_await this->source->list(this->kind, freshness);
     if (!isOk(set)) {
         this->recordFailure(errorOf(set));
-        this->hadOutage = this->hadOutage || this->hasListed;
+        this->sinceLastList.isAfterOutage = this->sinceLastList.isAfterOutage || this->hasListed;
         co_return false;
     }
     this->recordSuccess();
-    this->revision = valueOf(set).revision;
+    this->detectRestore(valueOf(set).era);
+    this->position = { valueOf(set).era, valueOf(set).revision };
     this->needsList = false;
     if (this->onList)
-        this->onList(valueOf(set), this->hadOutage);
+        this->onList(valueOf(set), this->sinceLastList);
     this->hasListed = true;
-    this->hadOutage = false;
+    this->sinceLastList = {};
     this->mustWatchAtOnce = isFirst;
     if (freshness == Freshness::Latest)
         this->recordCaughtUp();
@@ -104,27 +125,29 @@
     const TimePoint start = Clock::now();
     const milliseconds wait = this->hasCaughtUp ? this->options.wait : catchUpWait;
     const Result<ChangeSet> result
-        = co_await this->source->changes(this->kind, this->revision, wait, this->options.freshness);
+        = co_await this->source->changes(this->kind, this->position, wait, this->options.freshness);
     if (!isOk(result)) {
         this->needsList = true;
         if (errorOf(result).code == ResultCode::PlatformHistoryLost) {
-            logInfo("store_history_lost", { { "kind", this->kind }, { "revision", this->revision } });
+            logInfo("store_history_lost", { { "kind", this->kind }, { "revision", this->position.revision } });
             co_return true;
         }
-        this->hadOutage = true;
+        this->sinceLastList.isAfterOutage = true;
         this->recordFailure(errorOf(result));
         co_return false;
     }
     this->recordSuccess();
     const ChangeSet& changes = valueOf(result);
+    if (this->detectRestore(changes.era) || changes.era < this->position.era)
+        co_return true;
     // A response later than this was delayed by an outage of the store. Objects that it reports as removed may only
     // have expired during the outage.
     if (Clock::now() - start > this->options.wait + this->options.responseAllowance / 2) {
         this->needsList = true;
-        this->hadOutage = true;
+        this->sinceLastList.isAfterOutage = true;
         co_return true;
     }
-    this->revision = std::max(this->revision, changes.revision);
+    this->position.revision = std::max(this->position.revision, changes.revision);
     if (!changes.changes.empty() && this->onChanges)
         this->onChanges(changes);
     this->recordCaughtUp();
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -23,7 +23,17 @@
     boost::json::value content;
 };
 
+/// A point in the history of the store. A store that is restored from a copy starts a new era: it gives out revisions
+/// again, so those of different eras cannot be compared.
+struct StorePosition {
+    std::uint64_t era = 0; ///< Always 0 for a store that names none.
+    std::uint64_t revision = 0;
+
+    friend bool operator==(const StorePosition&, const StorePosition&) = default;
+};
+
 struct ObjectSet {
+    std::uint64_t era = 0; ///< See StorePosition.
     std::uint64_t revision = 0; ///< Store revision at which the set was read.
     std::vector<StoredObject> objects;
 };
@@ -34,6 +44,7 @@
 };
 
 struct ChangeSet {
+    std::uint64_t era = 0; ///< When it is not the requested one, the store was restored and there are no changes.
     std::uint64_t revision = 0; ///< Store revision up to which the changes are complete.
     std::vector<ObjectChange> changes;
 };
@@ -49,13 +60,21 @@
     /// All objects of a kind. Errors: those of Transport::call().
     virtual Awaitable<Result<ObjectSet>> list(std::string kind, Freshness freshness) = 0;
 
-    /// Changes after \a revision. Waits up to \a wait for the first one and returns an empty set when there is none.
-    /// Errors: as above, and PlatformHistoryLost when the store has discarded the changes after \a revision.
+    /// Changes after \a position. Waits up to \a wait for the first one and returns an empty set when there is none.
+    /// Errors: as above, and PlatformHistoryLost when the store has discarded the changes after \a position.
     virtual Awaitable<Result<ChangeSet>> changes(
-        std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness)
+        std::string kind, StorePosition position, milliseconds wait, Freshness freshness)
         = 0;
 };
 
+/// What happened since the previous list.
+struct ListCircumstances {
+    bool isAfterOutage = false; ///< The store was unreachable. Entries may have lapsed meanwhile.
+    /// The store was restored from a copy. What was acknowledged last may be missing until it is written again, and
+    /// what was removed last may be back. Counts as an outage, too.
+    bool isAfterRestore = false;
+};
+
 struct WatchOptions {
     milliseconds wait { 4000 }; ///< Long-poll time of a call. Bounds the delay that a silent connection causes.
     /// Beyond `wait`. A response later than half of it means that the store was unreachable.
@@ -66,18 +85,20 @@
 };
 
 /// Follows the objects of one kind: lists them, watches for changes, and lists them again after the store was
-/// unreachable or has discarded the changes needed.
+/// unreachable, was restored from a copy or has discarded the changes needed.
 class KindWatcher : public std::enable_shared_from_this<KindWatcher> {
 public:
     KindWatcher(asio::any_io_executor watcherExecutor, std::shared_ptr<ObjectSource> objectSource,
         std::string objectKind, WatchOptions watchOptions);
 
-    /// Called with the complete set; \a afterOutage is true when the store was unreachable since the previous call.
-    std::function<void(const ObjectSet&, bool afterOutage)> onList;
+    /// Called with the complete set.
+    std::function<void(const ObjectSet&, const ListCircumstances&)> onList;
     std::function<void(const ChangeSet&)> onChanges;
     /// Called once, when the objects are known to be current: after the changes since the first list, which may be
     /// stale, were read. Until then, an object that was removed before this process started may still be in the set.
     std::function<void()> onCaughtUp;
+    /// Called when a call shows that the store was restored, before the objects are listed again.
+    std::function<void()> onRestored;
     /// Called after each call to the store with whether it succeeded; not called after PlatformHistoryLost.
     std::function<void(bool)> onCall;
 
@@ -95,6 +116,8 @@
     void recordFailure(const Error& error);
     void recordSuccess();
     void recordCaughtUp();
+    /// Returns whether the store was restored since the last list; then the objects must be listed again.
+    bool detectRestore(std::uint64_t era);
 
     asio::any_io_executor executor;
     std::shared_ptr<ObjectSource> source;
@@ -102,13 +125,13 @@
     WatchOptions options;
     asio::steady_timer delayTimer;
     Random random;
-    std::uint64_t revision = 0;
+    StorePosition position;
     unsigned failures = 0;
     bool needsList = true;
     bool hasListed = false;
     bool hasCaughtUp = false;
     bool mustWatchAtOnce = false; ///< The list may be stale; changes since its revision are read without a delay.
-    bool hadOutage = false; ///< Since the last list.
+    ListCircumstances sinceLastList;
     bool isStopped = false;
     TimePoint lastSuccessAt {};
 };
--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -57,9 +57,9 @@
     return response;
 }
 
-std::string encodeChanges(const LoggedChanges& changes, Duration age)
+std::string encodeChanges(std::uint64_t era, const LoggedChanges& changes, Duration age)
 {
-    return fmt::format(R"({{"revision":{},"age_ms":{},"changes":[{}]}})", changes.revision,
+    return fmt::format(R"({{"era":{},"revision":{},"age_ms":{},"changes":[{}]}})", era, changes.revision,
         std::chrono::duration_cast<milliseconds>(age).count(), fmt::join(changes.changes, ","));
 }
 
@@ -109,9 +109,9 @@
 {
 }
 
-void StoreRelay::restart(const std::string& kind, std::uint64_t revision, bool afterOutage)
+void StoreRelay::restart(const std::string& kind, StorePosition position, bool afterOutage)
 {
-    restartChangeLog(this->kinds[kind].log, revision, afterOutage);
+    restartChangeLog(this->kinds[kind].log, position, afterOutage);
     this->wake();
 }
 
@@ -153,13 +153,17 @@
     return kind.isInSync && kind.log.revision > 0 && Clock::now() - this->contactAt < this->timing.freshness;
 }
 
-http::Response StoreRelay::response(const Kind& kind, std::uint64_t revision) const
+http::Response StoreRelay::response(const Kind& kind, StorePosition after) const
 {
     if (!this->isFresh(kind))
         return textResponse(503, "not in sync with the store");
-    const std::optional<LoggedChanges> changes = changesAfter(kind.log, revision);
-    if (changes)
-        return http::jsonResponse(200, encodeChanges(*changes, Clock::now() - this->contactAt));
+    if (after.era > kind.log.era)
+        return textResponse(503, "the restore of the store has not been seen here yet");
+    const Duration age = Clock::now() - this->contactAt;
+    if (after.era < kind.log.era)
+        return http::jsonResponse(200, encodeChanges(kind.log.era, { kind.log.revision, {} }, age));
+    if (const std::optional<LoggedChanges> changes = changesAfter(kind.log, after.revision))
+        return http::jsonResponse(200, encodeChanges(kind.log.era, *changes, age));
     // Objects that are missing after an outage may still come back, which a follower must be told.
     return kind.log.restartedAfterOutage ? textResponse(503, "the changes were lost in an outage of the store")
                                          : textResponse(410, "the changes are no longer known");
@@ -179,7 +183,7 @@
     const Kind& kind = *call->kind;
     const TimePoint until = Clock::now() + call->wait;
     while (Clock::now() < until) {
-        if (!this->isFresh(kind) || kind.log.revision > call->after || kind.log.floor > call->after)
+        if (!this->isFresh(kind) || kind.log.era != call->after.era || kind.log.revision > call->after.revision)
             break;
         // Not longer than this instance stays fresh, so that its followers learn in time that it has lost the store.
         const TimePoint freshUntil = this->contactAt + this->timing.freshness;
@@ -202,9 +206,14 @@
     const std::optional<std::uint64_t> waitMs = numberOf(target->parameter("wait_ms"));
     if (kind == this->kinds.end() || !after || !waitMs)
         return std::nullopt;
+    // Instances of an older release send no era.
+    const std::string eraText = target->parameter("era");
+    const std::optional<std::uint64_t> era = eraText.empty() ? kind->second.log.era : numberOf(eraText);
+    if (!era)
+        return std::nullopt;
     const auto longest
         = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(this->timing.followerWait).count());
-    return Call { .kind = &kind->second, .after = *after, .wait = milliseconds(std::min(*waitMs, longest)) };
+    return Call { .kind = &kind->second, .after = { *era, *after }, .wait = milliseconds(std::min(*waitMs, longest)) };
 }
 
 RelayedSource::RelayedSource(asio::any_io_executor sourceExecutor, std::shared_ptr<ObjectSource> objectStore,
@@ -239,7 +248,7 @@
 }
 
 Awaitable<Result<ChangeSet>> RelayedSource::changes(
-    std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness)
+    std::string kind, StorePosition position, milliseconds wait, Freshness freshness)
 {
     const auto self = this->shared_from_this();
     RelayAssignment assigned = this->assignment();
@@ -253,21 +262,21 @@
         const bool mustStayFresh = assigned.role == RelayRole::Watcher && this->relay->isLeading(kind);
         const milliseconds watcherWait = std::chrono::duration_cast<milliseconds>(this->timing.watcherWait);
         co_return co_await this->askStore(
-            kind, revision, mustStayFresh ? std::min(wait, watcherWait) : wait, freshness);
+            kind, position, mustStayFresh ? std::min(wait, watcherWait) : wait, freshness);
     }
     const milliseconds followerWait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
     const TimePoint giveUpAt = Clock::now() + this->timing.outageTolerance;
     while (true) {
         // The assignment may have changed during the waits.
         assigned = this->assignment();
-        const Result<ChangeSet> relayed = co_await this->askWatchers(assigned.watchers, kind, revision);
+        const Result<ChangeSet> relayed = co_await this->askWatchers(assigned.watchers, kind, position);
         if (isOk(relayed) || errorOf(relayed).code == ResultCode::PlatformHistoryLost)
             co_return relayed;
         const bool isOutage = errorOf(relayed).code == ResultCode::PlatformBadAnswer;
         const bool hasJustFailed = Clock::now() - this->storeFailedAt < this->timing.outageRetryDelay;
         if (!isOutage || !hasJustFailed) {
             const Result<ChangeSet> own
-                = co_await this->askStore(kind, revision, std::min(wait, followerWait), freshness);
+                = co_await this->askStore(kind, position, std::min(wait, followerWait), freshness);
             if (isOk(own) || !isOutage || errorOf(own).code == ResultCode::PlatformHistoryLost)
                 co_return own;
         }
@@ -281,7 +290,7 @@
 }
 
 Awaitable<Result<ChangeSet>> RelayedSource::askWatchers(
-    std::vector<HostPort> addresses, std::string kind, std::uint64_t revision)
+    std::vector<HostPort> addresses, std::string kind, StorePosition position)
 {
     Error last = makeError(ResultCode::PlatformUnreachable, "no watcher of the zone responds");
     std::erase_if(this->watchers, [&addresses](const auto& entry) {
@@ -292,7 +301,7 @@
         if (Clock::now() < this->watcherAt(address).backoffUntil)
             continue;
         const std::shared_ptr<Transport> transport = this->watcherAt(address).transport;
-        const Result<RelayedChanges> relayed = co_await this->askWatcher(transport, kind, revision);
+        const Result<RelayedChanges> relayed = co_await this->askWatcher(transport, kind, position);
         const bool isUsed = isOk(relayed) && valueOf(relayed).age < this->timing.freshness;
         if (this->onWatcherCall)
             this->onWatcherCall(isUsed);
@@ -316,9 +325,9 @@
 }
 
 Awaitable<Result<ChangeSet>> RelayedSource::askStore(
-    std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness)
+    std::string kind, StorePosition position, milliseconds wait, Freshness freshness)
 {
-    const Result<ChangeSet> result = co_await this->store->changes(kind, revision, wait, freshness);
+    const Result<ChangeSet> result = co_await this->store->changes(kind, position, wait, freshness);
     const TimePoint now = Clock::now();
     if (isOk(result) && freshness == Freshness::Latest)
         this->relay->recordContact(kind, now);
@@ -328,11 +337,12 @@
 }
 
 Awaitable<Result<RelayedSource::RelayedChanges>> RelayedSource::askWatcher(
-    std::shared_ptr<Transport> transport, std::string kind, std::uint64_t revision)
+    std::shared_ptr<Transport> transport, std::string kind, StorePosition position)
 {
     const milliseconds wait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
     const milliseconds allowance = std::chrono::duration_cast<milliseconds>(this->timing.responseAllowance);
-    const std::string target = fmt::format("{}{}?after={}&wait_ms={}", pathPrefix, kind, revision, wait.count());
+    const std::string target = fmt::format(
+        "{}{}?after={}&era={}&wait_ms={}", pathPrefix, kind, position.revision, position.era, wait.count());
     http::Request request { http::Verb::get, target, 11 };
     const Result<http::Response> response = co_await transport->call(std::move(request), wait + allowance);
     if (!isOk(response))
@@ -346,6 +356,8 @@
         const json::value document = json::parse(valueOf(response).body());
         RelayedChanges result;
         result.age = milliseconds(document.at("age_ms").to_number<std::uint32_t>());
+        const json::value* era = document.as_object().if_contains("era");
+        result.changes.era = era == nullptr ? position.era : era->to_number<std::uint64_t>();
         result.changes.revision = document.at("revision").to_number<std::uint64_t>();
         for (const json::value& change : document.at("changes").as_array())
             result.changes.changes.push_back(decodeChange(change));
--- a/src/libs/platform/storerelay.h
+++ b/src/libs/platform/storerelay.h
@@ -77,7 +77,7 @@
     /// long as these succeed; calls for the other kinds may wait much longer.
     StoreRelay(asio::any_io_executor relayExecutor, std::string leadingKind, RelayTiming relayTiming);
 
-    void restart(const std::string& kind, std::uint64_t revision, bool afterOutage);
+    void restart(const std::string& kind, StorePosition position, bool afterOutage);
     void append(const std::string& kind, const ChangeSet& changes);
     /// Whether the last call for \a kind succeeded.
     void setInSync(const std::string& kind, bool isInSync);
@@ -88,8 +88,9 @@
     void forgetContact();
     bool isLeading(std::string_view kind) const { return kind == this->leadingKind; }
 
-    /// Handles `GET /changes/KIND?after=REVISION&wait_ms=N`. Status 200 with the changes, 400 for a malformed call, 410
-    /// when the changes are no longer known, 503 when this instance is not in sync with the store.
+    /// Handles `GET /changes/KIND?after=REVISION&era=N&wait_ms=N`. Status 200 with the changes, or with none and the
+    /// newer era after a restore of the store; 400 for a malformed call, 410 when the changes are no longer known, 503
+    /// when this instance is not in sync with the store.
     Awaitable<void> handle(std::shared_ptr<http::Exchange> exchange);
 
 private:
@@ -99,12 +100,12 @@
     };
     struct Call {
         const Kind* kind = nullptr; ///< In `kinds`, from which nothing is removed.
-        std::uint64_t after = 0; ///< Revision that the follower knows.
+        StorePosition after; ///< What the follower knows.
         Duration wait {};
     };
     /// Nothing for a malformed call or an unknown kind.
     std::optional<Call> parseCall(std::string_view text) const;
-    http::Response response(const Kind& kind, std::uint64_t revision) const;
+    http::Response response(const Kind& kind, StorePosition after) const;
     bool isFresh(const Kind& kind) const;
     void wake();
 
@@ -129,7 +130,7 @@
 
     Awaitable<Result<ObjectSet>> list(std::string kind, Freshness freshness) override;
     Awaitable<Result<ChangeSet>> changes(
-        std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness) override;
+        std::string kind, StorePosition position, milliseconds wait, Freshness freshness) override;
 
     /// Ends the calls to watchers in progress, see Transport::dropConnections().
     void dropConnections();
@@ -145,12 +146,12 @@
     };
     /// Errors: as askWatchers().
     Awaitable<Result<RelayedChanges>> askWatcher(
-        std::shared_ptr<Transport> transport, std::string kind, std::uint64_t revision);
+        std::shared_ptr<Transport> transport, std::string kind, StorePosition position);
     /// Asks the watchers in turn. Errors: PlatformHistoryLost; PlatformBadAnswer when they have lost the store; those
     /// of Transport::call() when one does not respond.
-    Awaitable<Result<ChangeSet>> askWatchers(std::vector<HostPort> addresses, std::string kind, std::uint64_t revision);
+    Awaitable<Result<ChangeSet>> askWatchers(std::vector<HostPort> addresses, std::string kind, StorePosition position);
     Awaitable<Result<ChangeSet>> askStore(
-        std::string kind, std::uint64_t revision, milliseconds wait, Freshness freshness);
+        std::string kind, StorePosition position, milliseconds wait, Freshness freshness);
     Watcher& watcherAt(const HostPort& address);
 
     asio::any_io_executor executor;
--- a/src/libs/platform/tst_changelog.cpp
+++ b/src/libs/platform/tst_changelog.cpp
@@ -9,7 +9,7 @@
 
 ChangeSet setOf(std::uint64_t revision, std::initializer_list<const char*> names)
 {
-    ChangeSet set { .revision = revision, .changes = {} };
+    ChangeSet set { .era = 0, .revision = revision, .changes = {} };
     for (const char* name : names)
         set.changes.push_back({ StoredObject { .name = name, .revision = revision, .content = {} }, false });
     return set;
@@ -25,7 +25,7 @@
 
     SECTION("returns the changes after a revision, in their order")
     {
-        restartChangeLog(log, 10, false);
+        restartChangeLog(log, { 0, 10 }, false);
         appendChanges(log, setOf(12, { "a" }));
         appendChanges(log, setOf(15, { "b", "c" }));
         const auto all = changesAfter(log, 10);
@@ -52,7 +52,7 @@
         }
         SECTION("and begins anew after a list")
         {
-            restartChangeLog(log, 30, true);
+            restartChangeLog(log, { 0, 30 }, true);
             CHECK_FALSE(changesAfter(log, 15));
             CHECK(log.restartedAfterOutage);
         }
@@ -60,7 +60,7 @@
 
     SECTION("discards the oldest changes beyond its capacity, whole sets at a time")
     {
-        restartChangeLog(log, 1, true);
+        restartChangeLog(log, { 0, 1 }, true);
         for (std::uint64_t revision = 2; log.entries.size() < ChangeLog::capacity; ++revision)
             appendChanges(log, setOf(revision, { "x", "y" }));
         appendChanges(log, setOf(100'000, { "z" }));
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -34,10 +34,10 @@
     }
 
     Awaitable<Result<ChangeSet>> changes(
-        std::string, std::uint64_t revision, milliseconds wait, Freshness freshness) override
+        std::string, StorePosition position, milliseconds wait, Freshness freshness) override
     {
         CHECK(freshness == Freshness::Latest);
-        this->revisions.push_back(revision);
+        this->revisions.push_back(position.revision);
         if (this->watches.empty()) {
             co_await this->neverExpires.async_wait(useTuple);
             co_return makeError(ResultCode::PlatformUnreachable, "over");
@@ -62,11 +62,15 @@
     bool respondsLate = false; ///< Delays the next watch beyond its wait.
 };
 
-ObjectSet emptySetAt(std::uint64_t revision) { return { .revision = revision, .objects = {} }; }
+ObjectSet emptySetAt(std::uint64_t revision, std::uint64_t era = 0)
+{
+    return { .era = era, .revision = revision, .objects = {} };
+}
 
 ChangeSet removalOf(const std::string& name, std::uint64_t revision)
 {
-    return { .revision = revision,
+    return { .era = 0,
+        .revision = revision,
         .changes = { { .object = { .name = name, .revision = revision, .content = {} }, .isRemoved = true } } };
 }
 
@@ -83,8 +87,12 @@
     options.responseAllowance = milliseconds(20);
     const auto watcher = std::make_shared<KindWatcher>(context.get_executor(), source, "servers", options);
     std::vector<bool> listsAfterOutage;
+    std::vector<bool> listsAfterRestore;
     std::vector<std::string> removedNames;
-    watcher->onList = [&](const ObjectSet&, bool afterOutage) { listsAfterOutage.push_back(afterOutage); };
+    watcher->onList = [&](const ObjectSet&, const ListCircumstances& circumstances) {
+        listsAfterOutage.push_back(circumstances.isAfterOutage);
+        listsAfterRestore.push_back(circumstances.isAfterRestore);
+    };
     watcher->onChanges = [&](const ChangeSet& changes) {
         for (const ObjectChange& change : changes.changes)
             removedNames.push_back(change.object.name);
@@ -103,7 +111,7 @@
     SECTION("no change between the list and the watch is missed: watching starts at the revision of the list")
     {
         source->lists = { emptySetAt(7) };
-        source->watches = { removalOf("a", 9), ChangeSet { .revision = 12, .changes = {} } };
+        source->watches = { removalOf("a", 9), ChangeSet { .era = 0, .revision = 12, .changes = {} } };
         runScript();
         CHECK(listsAfterOutage == std::vector<bool> { false });
         CHECK(removedNames == std::vector<std::string> { "a" });
@@ -131,7 +139,7 @@
     {
         // A process that has just restarted would otherwise use a server that left before.
         std::vector<std::string> events;
-        watcher->onList = [&](const ObjectSet&, bool) { events.emplace_back("list"); };
+        watcher->onList = [&](const ObjectSet&, const ListCircumstances&) { events.emplace_back("list"); };
         watcher->onChanges = [&](const ChangeSet&) { events.emplace_back("changes"); };
         watcher->onCaughtUp = [&] { events.emplace_back("current"); };
         source->lists = { emptySetAt(7) };
@@ -162,6 +170,65 @@
         CHECK(source->listFreshness[2] == Freshness::Latest);
     }
 
+    SECTION("a store that was restored from a copy is listed again, also when its revisions have passed the known one")
+    {
+        const ChangeSet ofNextEra { .era = 1, .revision = 30, .changes = {} };
+        bool isRestoreReported = false;
+        watcher->onRestored = [&] { isRestoreReported = true; };
+        source->lists = { emptySetAt(20), emptySetAt(31, 1) };
+        SECTION("as a watch shows")
+        {
+            source->watches = { removalOf("a", 21), ofNextEra };
+            runScript();
+            REQUIRE(source->revisions.size() == 3);
+            CHECK(source->revisions[2] == 31);
+        }
+        SECTION("as the list after an outage shows")
+        {
+            source->watches = { makeError(ResultCode::PlatformTimeout, "silence") };
+            runScript();
+        }
+        SECTION("as the list after a lost history shows")
+        {
+            source->watches = { makeError(ResultCode::PlatformHistoryLost, "410") };
+            runScript();
+        }
+        SECTION("and again when it goes back twice")
+        {
+            source->lists.push_back(emptySetAt(25, 2));
+            source->watches = { ofNextEra, ChangeSet { .era = 2, .revision = 24, .changes = {} } };
+            runScript();
+            REQUIRE(listsAfterRestore.size() == 3);
+            CHECK(listsAfterRestore[2]);
+        }
+        CHECK(isRestoreReported);
+        REQUIRE(listsAfterRestore.size() >= 2);
+        CHECK(!listsAfterRestore[0]);
+        CHECK(listsAfterRestore[1]);
+        CHECK(listsAfterOutage[1]);
+    }
+
+    SECTION("a stale response from before a restore is not mistaken for another restore")
+    {
+        source->lists = { emptySetAt(20, 1) };
+        source->watches = { ChangeSet { .era = 0, .revision = 25, .changes = {} },
+            ChangeSet { .era = 1, .revision = 22, .changes = {} } };
+        runScript();
+        CHECK(source->listFreshness.size() == 1);
+        REQUIRE(source->revisions.size() == 3);
+        CHECK(source->revisions[1] == 20);
+        CHECK(source->revisions[2] == 22);
+    }
+
+    SECTION("a stale list from before a restore is not listed again and again")
+    {
+        source->lists = { emptySetAt(20), emptySetAt(22, 1) };
+        source->watches = { ChangeSet { .era = 1, .revision = 21, .changes = {} } };
+        runScript();
+        REQUIRE(source->listFreshness.size() >= 2);
+        CHECK(source->listFreshness[1] == Freshness::Latest);
+    }
+
     SECTION("a discarded history leads to a new list that is not marked as after an outage")
     {
         source->lists = { emptySetAt(7), emptySetAt(20) };
--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -23,13 +23,27 @@
     ChangeLog log;
     std::vector<std::weak_ptr<asio::steady_timer>> waiting;
 
-    FakeStore() { restartChangeLog(this->log, 10, false); }
+    FakeStore() { restartChangeLog(this->log, { 0, 10 }, false); }
+
+    /// Goes back to a copy: the revisions are given out again.
+    void restore(std::uint64_t revision)
+    {
+        restartChangeLog(this->log, { this->log.era + 1, revision }, false);
+        this->wake();
+    }
 
     void remove(const std::string& name)
     {
         StoredObject object { .name = name, .revision = this->log.revision + 1, .content = {} };
         appendChanges(this->log,
-            { .revision = object.revision, .changes = { { .object = std::move(object), .isRemoved = true } } });
+            { .era = this->log.era,
+                .revision = object.revision,
+                .changes = { { .object = std::move(object), .isRemoved = true } } });
+        this->wake();
+    }
+
+    void wake()
+    {
         for (const auto& weak : std::exchange(this->waiting, {})) {
             if (const auto timer = weak.lock())
                 timer->cancel();
@@ -50,25 +64,27 @@
         ++this->lists;
         if (this->isCut)
             co_return makeError(ResultCode::PlatformUnreachable, "cut off");
-        co_return ObjectSet { .revision = this->store.log.revision, .objects = {} };
+        co_return ObjectSet { .era = this->store.log.era, .revision = this->store.log.revision, .objects = {} };
     }
 
-    Awaitable<Result<ChangeSet>> changes(std::string, std::uint64_t revision, milliseconds wait, Freshness) override
+    Awaitable<Result<ChangeSet>> changes(std::string, StorePosition position, milliseconds wait, Freshness) override
     {
         ++this->watches;
         this->lastWait = wait;
         const TimePoint until = Clock::now() + wait;
-        if (!this->isCut && this->store.log.revision <= revision) {
+        if (!this->isCut && this->store.log.era == position.era && this->store.log.revision <= position.revision) {
             auto timer = std::make_shared<asio::steady_timer>(this->context, until);
             this->store.waiting.push_back(timer);
             co_await timer->async_wait(useTuple);
         }
         if (this->isCut)
             co_return makeError(ResultCode::PlatformUnreachable, "cut off");
-        const auto result = changesAfter(this->store.log, revision);
+        if (this->store.log.era != position.era)
+            co_return ChangeSet { .era = this->store.log.era, .revision = this->store.log.revision, .changes = {} };
+        const auto result = changesAfter(this->store.log, position.revision);
         if (!result)
             co_return makeError(ResultCode::PlatformHistoryLost, "history lost");
-        ChangeSet set { .revision = result->revision, .changes = {} };
+        ChangeSet set { .era = position.era, .revision = result->revision, .changes = {} };
         for (const std::string& text : result->changes)
             set.changes.push_back(decodeChange(boost::json::parse(text)));
         co_return set;
@@ -100,10 +116,11 @@
         WatchOptions options;
         options.minimumInterval = changeBound / 4;
         this->watcher = std::make_shared<KindWatcher>(context.get_executor(), this->source, kind, options);
-        this->watcher->onList = [this](const ObjectSet& set, bool afterOutage) {
-            this->listsAfterOutage += afterOutage ? 1 : 0;
+        this->watcher->onList = [this](const ObjectSet& set, const ListCircumstances& circumstances) {
+            this->listsAfterOutage += circumstances.isAfterOutage ? 1 : 0;
             this->revision = set.revision;
-            this->relay->restart(kind, set.revision, afterOutage);
+            this->listedAt = { set.era, set.revision };
+            this->relay->restart(kind, { set.era, set.revision }, circumstances.isAfterOutage);
         };
         this->watcher->onChanges = [this](const ChangeSet& changes) {
             CHECK(changes.revision > this->revision);
@@ -124,7 +141,8 @@
     std::shared_ptr<KindWatcher> watcher;
     std::shared_ptr<http::Server> server;
     RelayAssignment assignment;
-    std::set<std::string> removed;
+    std::set<std::string> removed; ///< By changes; a list after the removal shows it, too.
+    StorePosition listedAt;
     std::uint64_t revision = 0;
     unsigned listsAfterOutage = 0;
     bool isFrozen = false; ///< Accepts calls and never responds.
@@ -228,10 +246,15 @@
 
     const auto knowsRemovalInTime = [&] {
         store.remove("server-1");
+        const StorePosition removal { store.log.era, store.log.revision };
+        const auto isKnown = [&] {
+            return follower.removed.contains("server-1")
+                || (follower.listedAt.era == removal.era && follower.listedAt.revision >= removal.revision);
+        };
         const TimePoint start = Clock::now();
-        while (Clock::now() - start < changeBound && !follower.removed.contains("server-1"))
+        while (Clock::now() - start < changeBound && !isKnown())
             context.run_one_for(milliseconds(10));
-        return follower.removed.contains("server-1");
+        return isKnown();
     };
 
     SECTION("a follower knows of a change in time, without a call to the store")
@@ -249,7 +272,7 @@
             context,
             [&first, longWait]() -> Awaitable<void> {
                 const auto source = first.source;
-                co_await source->changes("configurations", 10, longWait, Freshness::Latest);
+                co_await source->changes("configurations", { 0, 10 }, longWait, Freshness::Latest);
             },
             asio::detached);
         context.poll();
@@ -275,6 +298,37 @@
         CHECK(knowsRemovalInTime());
         CHECK(follower.access->watches > watchesBefore);
     }
+    SECTION("a store that was restored from a copy")
+    {
+        for (unsigned i = 1; i <= 8; ++i)
+            store.remove("before-" + std::to_string(i));
+        context.run_for(changeBound);
+        REQUIRE(follower.revision == 18);
+        store.restore(12);
+
+        SECTION("hides no change from a follower that was ahead of its watcher")
+        {
+            context.run_for(changeBound);
+            CHECK(knowsRemovalInTime());
+            CHECK(follower.listsAfterOutage == 1);
+            CHECK(second.listsAfterOutage == 1);
+        }
+        SECTION("and hides none when the new revisions pass the old ones before anyone asks")
+        {
+            for (unsigned i = 1; i <= 9; ++i)
+                store.remove("after-" + std::to_string(i));
+            CHECK(knowsRemovalInTime());
+            CHECK(follower.listsAfterOutage == 1);
+        }
+        SECTION("and goes back again, while the watcher is cut off")
+        {
+            context.run_for(changeBound);
+            first.access->isCut = true;
+            store.restore(11);
+            CHECK(knowsRemovalInTime());
+            CHECK(follower.listsAfterOutage >= 2);
+        }
+    }
     SECTION("a watcher that was paused is not used before it has asked the store anew")
     {
         const unsigned responses = usedResponses;
@@ -323,7 +377,7 @@
         const std::uint64_t known = follower.revision;
         REQUIRE(known > 10);
         // onChanges checks that revisions rise.
-        first.relay->restart(kind, 5, false);
+        first.relay->restart(kind, { 0, 5 }, false);
         context.run_for(changeBound / 2);
         CHECK(follower.revision == known);
         CHECK(knowsRemovalInTime());
