Do not use a server that left when a restored store still lists it

Callers saw nothing yet: found by looking for the same cause elsewhere. A copy of the store has entries again that were removed after it was made, and a server that an instance has acknowledged as gone must get no more requests (DRAIN). Cause: the catalog forgot a removed server at once, so its old entry counted as a new server. Change: the last entry of a removed server is kept for two minutes; its entry is accepted again only when the server itself wrote a later one (start time, sequence). The revision does not count, as it also rises when the store is written again.

--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -12,10 +12,24 @@
         || (candidate.sequence == current.sequence && candidate.revision > current.revision);
 }
 
+namespace {
+
+/// Whether the server itself wrote \a candidate after \a other.
+bool isLaterReport(const ServerEntry& candidate, const ServerEntry& other)
+{
+    return std::pair(candidate.startTimeMs, candidate.sequence) > std::pair(other.startTimeMs, other.sequence);
+}
+
+} // namespace
+
 bool ServerCatalog::apply(const ServerEntry& entry, TimePoint now)
 {
     const auto found = this->servers.find(entry.id);
     if (found == this->servers.end()) {
+        // The revision says nothing here: it also rises when a restored store is written again.
+        const auto removed = this->removedServers.find(entry.id);
+        if (removed != this->removedServers.end() && !isLaterReport(entry, removed->second.entry))
+            return false;
         this->insert(entry, now);
         return true;
     }
@@ -28,7 +42,7 @@
         || entry.zone != server->entry.zone;
     if (restarted || moved) {
         // A new incarnation, service, address or zone: nothing recorded for the old server applies to the new one.
-        this->remove(entry.id);
+        this->remove(entry.id, now);
         this->insert(entry, now);
         return true;
     }
@@ -52,6 +66,7 @@
                                                          : Locality::OtherRegion;
     server->isEvacuated = this->evacuatedZones.contains(entry.zone);
     server->coldUntil = now + entry.remainingColdTime;
+    this->removedServers.erase(entry.id);
     this->servers[entry.id] = server;
     this->byService[entry.service].push_back(server);
 }
@@ -65,13 +80,14 @@
         this->onRemoved(server);
 }
 
-void ServerCatalog::remove(const std::string& id)
+void ServerCatalog::remove(const std::string& id, TimePoint now)
 {
     const auto found = this->servers.find(id);
     if (found == this->servers.end())
         return;
     const ServerPointer server = found->second;
     this->servers.erase(found);
+    this->removedServers[id] = { .entry = server->entry, .removedAt = now };
     this->detach(server);
 }
 
@@ -90,7 +106,7 @@
     for (const std::string& id : missing) {
         const ServerPointer server = this->servers[id];
         if (!afterOutage)
-            this->remove(id);
+            this->remove(id, now);
         else if (server->missingSince == TimePoint {})
             server->missingSince = now;
     }
@@ -104,10 +120,16 @@
             expired.push_back(id);
     }
     for (const std::string& id : expired)
-        this->remove(id);
+        this->remove(id, now);
     return expired;
 }
 
+void ServerCatalog::forgetRemoved(TimePoint now)
+{
+    std::erase_if(this->removedServers,
+        [now](const auto& removed) { return now - removed.second.removedAt >= removedRetention; });
+}
+
 void ServerCatalog::setEvacuations(std::set<std::string> zones, TimePoint now)
 {
     this->evacuatedZones = std::move(zones);
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -31,16 +31,21 @@
     /// shortly before, and its last report can be older by a heartbeat interval and the store's delay.
     static constexpr seconds postEvacuationColdTime { 3 };
 
+    /// Time for which an old entry of a removed server is not accepted. A restored store has entries again that were
+    /// removed after its copy was made, and a list may be from before the removal.
+    static constexpr seconds removedRetention { 120 };
+
     explicit ServerCatalog(InstanceLocation instanceLocation)
         : location(std::move(instanceLocation))
     {
     }
 
-    /// Applies one entry. Returns false when it is not newer than the current one.
+    /// Applies one entry. Returns false when it is not newer than the current one, or than the last one of a server
+    /// that was removed.
     bool apply(const ServerEntry& entry, TimePoint now);
 
     /// Removes a server whose entry was removed: it has ended, or stops without having reported that it drains.
-    void remove(const std::string& id);
+    void remove(const std::string& id, TimePoint now);
 
     /// Replaces the whole set. With \a afterOutage, missing entries have `outageGracePeriod` to reappear before
     /// expireMissing() removes them.
@@ -49,6 +54,9 @@
     /// Removes the servers whose entries did not reappear in time. Returns their ids.
     std::vector<std::string> expireMissing(TimePoint now);
 
+    /// Forgets the removed servers whose entries can no longer come back.
+    void forgetRemoved(TimePoint now);
+
     /// Sets the availability zones whose servers get no requests.
     void setEvacuations(std::set<std::string> zones, TimePoint now);
 
@@ -64,6 +72,10 @@
     std::function<void(const ServerPointer&)> onRemoved;
 
 private:
+    struct RemovedServer {
+        ServerEntry entry; ///< The last one.
+        TimePoint removedAt {};
+    };
     void insert(const ServerEntry& entry, TimePoint now);
     void detach(const ServerPointer& server);
 
@@ -71,6 +83,7 @@
     std::map<std::string, ServerPointer> servers;
     std::map<std::string, std::vector<ServerPointer>> byService;
     std::set<std::string> evacuatedZones;
+    std::map<std::string, RemovedServer> removedServers; ///< By id.
 };
 
 /// Whether \a candidate is newer than \a current: of a later incarnation, or a later report of the same one.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -377,7 +377,7 @@
 
     SECTION("is rejected as not run when no server is left")
     {
-        fixture.catalog->remove("s1");
+        fixture.catalog->remove("s1", Clock::now());
         const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "2002");
         CHECK(text.starts_with("HTTP/1.1 503"));
         CHECK(text.find("Retry-After: ") != std::string::npos);
@@ -577,7 +577,7 @@
     SECTION("sends no request to a server that has left meanwhile")
     {
         fixture.addServer("s2", fixture.second.port());
-        fixture.catalog->remove("s1");
+        fixture.catalog->remove("s1", Clock::now());
         fixture.forwarder->confirmKnowledge();
         CHECK(fixture.receive(socket, "whole").starts_with("HTTP/1.1 200"));
         CHECK(fixture.first.requests.empty());
@@ -592,7 +592,7 @@
     {
         fixture.forwarder->confirmKnowledge();
         fixture.receive(socket, "whole");
-        fixture.catalog->remove("s1");
+        fixture.catalog->remove("s1", Clock::now());
         fixture.addServer("s3", fixture.second.port());
         const auto other = fixture.open(requestBytes("r2", "/once/2", "POST"));
         fixture.runUntil([&] { return fixture.forwarder->activeRequests() == 1; });
--- a/src/libs/forwarding/tst_servercatalog.cpp
+++ b/src/libs/forwarding/tst_servercatalog.cpp
@@ -113,11 +113,40 @@
         CHECK_FALSE(isCold(*server, start + seconds(12)));
     }
 
+    SECTION("an entry that comes back from a copy of the store does not bring back a server that left")
+    {
+        const ServerEntry last = server->entry;
+        catalog.remove("s1", start);
+        ServerEntry restored = last;
+        restored.revision = last.revision + 100;
+        CHECK_FALSE(catalog.apply(restored, start + seconds(5)));
+        restored.sequence = last.sequence - 1;
+        catalog.replaceAll({ restored }, true, start + seconds(5));
+        CHECK(catalog.find("s1") == nullptr);
+
+        SECTION("unless the server has written it again")
+        {
+            restored.sequence = last.sequence + 1;
+            CHECK(catalog.apply(restored, start + seconds(6)));
+        }
+        SECTION("or another incarnation has its id")
+        {
+            restored.startTimeMs = last.startTimeMs + 1;
+            restored.sequence = 1;
+            CHECK(catalog.apply(restored, start + seconds(6)));
+        }
+        SECTION("and is forgotten when no copy can be that old")
+        {
+            catalog.forgetRemoved(start + ServerCatalog::removedRetention);
+            CHECK(catalog.apply(restored, start + ServerCatalog::removedRetention));
+        }
+    }
+
     SECTION("the owner of idle connections is notified of a removed server")
     {
         std::vector<std::string> removed;
         catalog.onRemoved = [&removed](const ServerPointer& oldServer) { removed.push_back(oldServer->entry.id); };
-        catalog.remove("s1");
+        catalog.remove("s1", start);
         CHECK(removed == std::vector<std::string> { "s1" });
     }
 }
