Keep evacuations across a restore of the store until they are written again

A copy of the store lacks an evacuation that was requested after it was made, or has one again that has ended, until the operator has written it again. Cause: the listed zones replaced those in force at once, so a zone got requests in the middle of its evacuation (EVAC). Change: after a restore, zones stay as they were for two seconds; changes after the list hold at once. A free struct with functions, EvacuationSet. The code before had no such state: the list after the restore took effect at once.

--- /dev/null
+++ b/src/libs/forwarding/evacuationset.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <set>
+#include <string>
+
+namespace clementinefall::forwarding {
+
+/// The availability zones under evacuation. After a restore of the store, an evacuation may be missing until the
+/// operator has written it again, and one that has ended may be back until it is removed again. Until then, the zones
+/// stay as they were, so that no zone gets requests in between.
+struct EvacuationSet {
+    std::set<std::string> zones; ///< In force.
+    std::set<std::string> listed; ///< According to the store; in force once settled.
+    TimePoint settlesAt {}; ///< Unset when `zones` and `listed` are the same.
+};
+
+/// Time after a restore within which what the operator wrote is written again.
+inline constexpr seconds evacuationSettleTime { 2 };
+
+void replaceEvacuations(EvacuationSet& set, std::set<std::string> listed, bool isAfterRestore, TimePoint now);
+
+/// Applies one change. It was made after the list, so it holds at once.
+void changeEvacuation(EvacuationSet& set, const std::string& zone, bool isRemoved);
+
+/// Puts the listed zones in force when their time has come. Returns whether that changed the zones.
+bool settleEvacuations(EvacuationSet& set, TimePoint now);
+
+} // namespace clementinefall::forwarding
