--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -32,6 +32,18 @@
     std::erase_if(this->registered, [&present](const auto& entry) { return !present.contains(entry.first); });
 }
 
+void InstanceTable::setRegisteredAfterRestore(const std::vector<InstanceInfo>& instances, TimePoint now)
+{
+    std::set<std::string> present;
+    for (const InstanceInfo& instance : instances) {
+        present.insert(instance.name);
+        if (!this->isLive(instance.name, now))
+            this->add(instance, now - livenessTimeout);
+    }
+    std::erase_if(this->registered,
+        [&](const auto& entry) { return !present.contains(entry.first) && !this->isLive(entry.second, now); });
+}
+
 bool InstanceTable::recordHeartbeat(const Heartbeat& heartbeat, TimePoint now)
 {
     const auto found = this->registered.find(heartbeat.name);
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -36,6 +36,9 @@
 
     /// Sets the registered instances. A new one counts as live until `livenessTimeout` has passed without a heartbeat.
     void setRegistered(const std::vector<InstanceInfo>& instances, TimePoint now);
+    /// As above, after a restore of the store. Registrations may be missing or out of date, so live instances are kept
+    /// as they are, and others count as dead until a heartbeat.
+    void setRegisteredAfterRestore(const std::vector<InstanceInfo>& instances, TimePoint now);
     void add(const InstanceInfo& instance, TimePoint now);
     void remove(const std::string& name);
 
--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -77,6 +77,28 @@
         CHECK(ports("a", "north", true, start + seconds(10)) == std::vector<int> { 100 });
     }
 
+    SECTION("after the store was restored from a copy")
+    {
+        const TimePoint restored = start + seconds(60);
+        table.remove("far");
+        table.recordHeartbeat(heartbeatOf(neighbour, InstanceState::Ready), restored);
+        InstanceInfo outdated = neighbour;
+        outdated.incarnation = 17;
+        table.setRegisteredAfterRestore({ outdated, far }, restored);
+
+        SECTION("a live instance stays listed, although its registration is out of date")
+        {
+            CHECK(ports("a", "north", true, restored) == std::vector<int> { 100, 200 });
+            CHECK(table.recordHeartbeat(heartbeatOf(neighbour, InstanceState::Ready), restored + seconds(1)));
+        }
+        SECTION("an instance that was stopped before does not return to the lookups")
+        {
+            CHECK(ports("c", "south", true, restored) == std::vector<int> { 100, 200 });
+            CHECK(table.recordHeartbeat(heartbeatOf(far, InstanceState::Ready), restored + seconds(1)));
+            CHECK(ports("c", "south", true, restored + seconds(1)) == std::vector<int> { 400 });
+        }
+    }
+
     SECTION("without a ready instance in the zone, those of the region are listed, or else all")
     {
         CHECK(ports("a", "north", false, start) == std::vector<int> { 200 });
