Let a server that was only missing return with the entry that it had

Callers saw nothing yet: found by reading the guard against returning servers again. Cause: an entry as old as the last one counted as one that comes back from a copy, also when no removal had been seen. Change: after a seen removal only a later entry of the server is accepted, after a mere absence also the same one.

--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -14,10 +14,11 @@
 
 namespace {
 
-/// Whether the server itself wrote \a candidate after \a other.
-bool isLaterReport(const ServerEntry& candidate, const ServerEntry& other)
+/// Start time and sequence, which the server itself writes. The revision rises also when a restored store is written
+/// again.
+std::pair<std::uint64_t, std::uint64_t> reportOf(const ServerEntry& entry)
 {
-    return std::pair(candidate.startTimeMs, candidate.sequence) > std::pair(other.startTimeMs, other.sequence);
+    return { entry.startTimeMs, entry.sequence };
 }
 
 } // namespace
@@ -26,10 +27,13 @@
 {
     const auto found = this->servers.find(entry.id);
     if (found == this->servers.end()) {
-        // The revision says nothing here: it also rises when a restored store is written again.
         const auto removed = this->removedServers.find(entry.id);
-        if (removed != this->removedServers.end() && !isLaterReport(entry, removed->second.entry))
-            return false;
+        if (removed != this->removedServers.end()) {
+            const RemovedServer& last = removed->second;
+            // A missing server may be running and write the entry that was lost once more.
+            if (reportOf(entry) < reportOf(last.entry) || (!last.wasMissing && reportOf(entry) == reportOf(last.entry)))
+                return false;
+        }
         this->insert(entry, now);
         return true;
     }
@@ -119,8 +123,10 @@
         if (server->missingSince != TimePoint {} && now - server->missingSince >= outageGracePeriod)
             expired.push_back(id);
     }
-    for (const std::string& id : expired)
+    for (const std::string& id : expired) {
         this->remove(id, now);
+        this->removedServers[id].wasMissing = true;
+    }
     return expired;
 }
 
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -40,8 +40,8 @@
     {
     }
 
-    /// Applies one entry. Returns false when it is not newer than the current one, or than the last one of a server
-    /// that was removed.
+    /// Applies one entry. Returns false when it is not newer than the current one or than the last one of a server that
+    /// was removed, or when it is older than the last one of a server that was missing for too long.
     bool apply(const ServerEntry& entry, TimePoint now);
 
     /// Removes a server whose entry was removed: it has ended, or stops without having reported that it drains.
@@ -75,6 +75,7 @@
     struct RemovedServer {
         ServerEntry entry; ///< The last one.
         TimePoint removedAt {};
+        bool wasMissing = false; ///< After an outage; its removal was not seen.
     };
     void insert(const ServerEntry& entry, TimePoint now);
     void detach(const ServerPointer& server);
--- a/src/libs/forwarding/tst_servercatalog.cpp
+++ b/src/libs/forwarding/tst_servercatalog.cpp
@@ -142,6 +142,17 @@
         }
     }
 
+    SECTION("a server that was only missing after an outage returns with the entry that it had")
+    {
+        const ServerEntry last = server->entry;
+        catalog.replaceAll({}, true, start);
+        REQUIRE(catalog.expireMissing(start + ServerCatalog::outageGracePeriod) == std::vector<std::string> { "s1" });
+        ServerEntry outdated = last;
+        outdated.sequence = last.sequence - 1;
+        CHECK_FALSE(catalog.apply(outdated, start + seconds(4)));
+        CHECK(catalog.apply(last, start + seconds(5)));
+    }
+
     SECTION("the owner of idle connections is notified of a removed server")
     {
         std::vector<std::string> removed;
