Let spill shares follow what the other region really takes

Cause: a spill share bounds which objects may run in the other region, not how many do. While that region is full, their requests run locally, and once it has capacity again they all move at once. Change: each instance counts where requests of spilled objects are sent; a share of which less than 0.85 is used shrinks, at the rate at which shares change anyway.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -153,6 +153,7 @@
     TimePoint target {}; ///< When the route's target latency ends.
     std::uint64_t object = 0; ///< Hash of route and affinity key; 0 without affinity.
     std::uint64_t spillObject = 0; ///< As `object`, but random for requests without affinity.
+    std::string spillRegion; ///< The other region that runs the object; empty for the local one.
     requests::Fingerprint fingerprint;
     unsigned attemptsSent = 0; ///< Servers to which the request was sent.
     unsigned connectFailures = 0;
@@ -333,6 +334,7 @@
     const auto spill = this->spills.find(job.service);
     const std::string region
         = hasLocalServer && spill != this->spills.end() ? spillTarget(spill->second, job.spillObject) : std::string();
+    job.spillRegion = region;
     if (!region.empty()) {
         std::vector<std::size_t> outsideRegion = excluded;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -587,6 +589,8 @@
         }
     }
     ++job.attemptsSent;
+    if (const auto spill = this->spills.find(job.service); spill != this->spills.end() && !job.spillRegion.empty())
+        recordSpillUse(spill->second, job.spillRegion, server->region == job.spillRegion);
     const bool isCached = expected.cacheAffinity == CacheAffinity::Cached;
     this->counters.recordPlacement(isCached);
     ++(isCached                                             ? job.state->cachedPlacements
--- a/src/libs/forwarding/regionspill.cpp
+++ b/src/libs/forwarding/regionspill.cpp
@@ -13,6 +13,15 @@
 /// Makes the order in which objects move independent of the choice among several regions.
 constexpr std::uint64_t orderSeed = 0x5350494c4cULL;
 
+/// Adds the requests since the previous update to the moving average.
+void updateUse(SpillUse& use)
+{
+    if (use.intended > 0)
+        use.usedPart += utilizationWeight * (static_cast<double>(use.sent) / use.intended - use.usedPart);
+    use.intended = 0;
+    use.sent = 0;
+}
+
 } // namespace
 
 double RegionSpill::totalShare() const
@@ -52,14 +61,34 @@
     return shares;
 }
 
+void recordSpillUse(RegionSpill& spill, const std::string& region, bool wasSentThere)
+{
+    SpillUse& use = spill.uses[region];
+    ++use.intended;
+    use.sent += wasSentThere ? 1 : 0;
+}
+
 void updateSpill(RegionSpill& spill, double localUtilization, const std::map<std::string, double>& utilizationByRegion,
     Duration elapsed)
 {
     spill.localUtilization += utilizationWeight * (localUtilization - spill.localUtilization);
-    std::erase_if(spill.shares, [&](const auto& share) { return !utilizationByRegion.contains(share.first); });
+    const auto isGone = [&](const auto& entry) { return !utilizationByRegion.contains(entry.first); };
+    std::erase_if(spill.shares, isGone);
+    std::erase_if(spill.uses, isGone);
     if (utilizationByRegion.empty())
         return;
+    for (auto& [region, use] : spill.uses)
+        updateUse(use);
     const double step = maximumSpillChangePerSecond * std::min(1.0, std::chrono::duration<double>(elapsed).count());
+    for (auto& [region, share] : spill.shares) {
+        SpillUse& use = spill.uses[region];
+        if (use.usedPart >= minimumUsedPart)
+            continue;
+        share = std::max(0.0, share - step);
+        if (share == 0)
+            use = {};
+        return;
+    }
     const auto byUtilization = [](const auto& left, const auto& right) { return left.second < right.second; };
     const auto least = std::min_element(utilizationByRegion.begin(), utilizationByRegion.end(), byUtilization);
     if (spill.localUtilization > busyUtilization && spill.localUtilization - least->second > growThreshold
--- a/src/libs/forwarding/regionspill.h
+++ b/src/libs/forwarding/regionspill.h
@@ -30,12 +30,24 @@
 /// Utilization of another region above which its share does not grow.
 inline constexpr double saturatedUtilization = 0.8;
 
+/// A share of which a smaller part than this is used shrinks. What it exceeds the use would otherwise move at once when
+/// the other region has capacity again.
+inline constexpr double minimumUsedPart = 0.85;
+
 /// Weight of the newest measurement in the moving average of the utilization, for measurements every 250 ms.
 inline constexpr double utilizationWeight = 0.2;
 
+/// Use of the share of one region: requests for objects that it runs, and how many of them were sent there.
+struct SpillUse {
+    unsigned intended = 0; ///< Since the previous update.
+    unsigned sent = 0;
+    double usedPart = 1.0; ///< Moving average of sent to intended requests.
+};
+
 /// Spill of one service.
 struct RegionSpill {
     std::map<std::string, double> shares; ///< Fraction of the objects that may run in each other region.
+    std::map<std::string, SpillUse> uses {}; ///< By region.
     double localUtilization = 0.0; ///< Moving average of outstanding requests per slot; above 1 with queueing.
 
     /// Fraction of the objects that run in other regions.
@@ -54,10 +66,13 @@
 std::map<std::string, double> initialSpillShares(
     const std::map<std::string, RegionCapacity>& regions, const std::string& localRegion);
 
+/// Records that a request for an object that \a region runs was sent there, or for lack of capacity elsewhere.
+void recordSpillUse(RegionSpill& spill, const std::string& region, bool wasSentThere);
+
 /// Adds a measurement of the local utilization and changes one share: it raises that of the least used other region, or
-/// lowers that of the most used one. \a utilizationByRegion holds the other regions that have servers for the service;
-/// shares of further regions are removed at once. \a elapsed is the time since the previous call; the change is limited
-/// to that of one second.
+/// lowers that of the most used one. A share that the other region has no capacity for shrinks, too. \a
+/// utilizationByRegion holds the other regions that have servers for the service; shares of further regions are removed
+/// at once. \a elapsed is the time since the previous call; the change is limited to that of one second.
 void updateSpill(RegionSpill& spill, double localUtilization, const std::map<std::string, double>& utilizationByRegion,
     Duration elapsed);
 
--- a/src/libs/forwarding/tst_regionspill.cpp
+++ b/src/libs/forwarding/tst_regionspill.cpp
@@ -77,6 +77,32 @@
         CHECK(spill.shares["east"] < 0.1);
     }
 
+    SECTION("a region that was full does not get its whole share at once when it has capacity again")
+    {
+        const double allowed = 0.15;
+        spill.shares["east"] = 0.6;
+        for (int i = 0; i < 100; ++i) {
+            const double capacity = 0.1; // Of all requests.
+            for (int request = 0; request < 20; ++request)
+                recordSpillUse(spill, "east", request < 20 * std::min(1.0, capacity / spill.shares["east"]));
+            const double before = spill.shares["east"];
+            updateSpill(spill, 2.0, { { "east", 0.9 } }, milliseconds(250));
+            CHECK(before - spill.shares["east"] <= maximumSpillChangePerSecond / 4 + 1e-9);
+        }
+        const double unused = spill.shares["east"] - 0.1;
+        CHECK(unused + 2 * maximumSpillChangePerSecond < allowed);
+        CHECK(spill.shares["east"] > 0.05);
+
+        SECTION("and it grows again when all of it is used")
+        {
+            for (int i = 0; i < 100; ++i) {
+                recordSpillUse(spill, "east", true);
+                updateSpill(spill, 2.0, { { "east", 0.2 } }, milliseconds(250));
+            }
+            CHECK(spill.shares["east"] > 0.5);
+        }
+    }
+
     SECTION("a region without servers loses its share at once")
     {
         spill.shares["east"] = 0.4;
@@ -96,7 +122,7 @@
         CHECK(shares.at("big") + shares.at("mid") == Approx(1 - 12.0 / 32));
         CHECK(shares.at("big") > shares.at("mid"));
         CHECK(initialSpillShares(regions, "big").size() <= 1);
-        RegionSpill none { initialSpillShares(regions, "big"), 0.0 };
+        RegionSpill none { .shares = initialSpillShares(regions, "big") };
         CHECK(none.totalShare() == 0);
     }
 }
