Reserve permits in advance, so that limited servers are used up to their limits

Cause: a denied instance was told to come back in turn, up to 2 s later, and each of its waiting requests took a turn of its own. Permits that became available while nobody asked lapsed after the burst time. Class: a turn that is handed out and not kept, so the resource idles while others wait for theirs. Ruled out: too little demand (three times the limit), the burst time (the loss grows with the number of waiting requests). Change: a request names the time that it can wait and still meet its target latency, and the coordinator reserves the next permit within it; a denial tells when the next permit is available, which placement counts as waiting time. A permit that was reserved under a limit that has fallen is void. A limit that rises takes effect within a second.

--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -85,7 +85,8 @@
     RateLimitState rateLimit;
     unsigned sentWhileLimited = 0; ///< Requests of this instance since the last summary line.
     PermitBucket permits; ///< Used while this instance coordinates the server's rate limit.
-    TimePoint permitRetryAt {}; ///< No request before this time while the server has a rate limit.
+    TimePoint permitRetryAt {}; ///< No request for a permit before this time: the coordinator was not found.
+    TimePoint permitAvailableAt {}; ///< Earliest use of the next permit under the rate limit, as last reported.
     TimePoint lastColdSend {}; ///< Last request sent while the server was cold, for the rate limit.
 };
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace clementinefall::forwarding {
 
@@ -60,6 +61,9 @@
 /// Maximum time for a coordinator's reply beyond the round trip to the server, which is in the same zone.
 constexpr milliseconds permitReplyAllowance { 150 };
 
+/// A permit stays valid until the limit has fallen below this fraction of what it was.
+constexpr double validLimitFraction = 0.9;
+
 /// A server whose coordinator does not reply gets no requests for this time.
 constexpr milliseconds silentCoordinatorBackoff { 1000 };
 
@@ -148,6 +152,7 @@
     const Route* route = nullptr;
     std::string service;
     std::shared_ptr<RouteState> state; ///< Outlives a change of the configuration.
+    double permittedRate = 0; ///< Rate limit for which the permit was granted.
     TimePoint permitUntil {}; ///< When the permit for the current attempt lapses, at a server with a rate limit.
     TimePoint deadline {}; ///< The earlier of the caller's and the route's, minus the response margin.
     TimePoint target {}; ///< When the route's target latency ends.
@@ -495,7 +500,7 @@
             break;
         }
         const ServerPointer server = job.servers[*placement.server];
-        if (server->rateLimit.perSecond && !co_await this->obtainPermit(job, server))
+        if (server->rateLimit.perSecond && !co_await this->obtainPermit(job, server, placement.estimate))
             continue;
         if (job.attemptsSent > 0 && !this->budgetOf(job.service).takeExtraAttempt(Clock::now())) {
             if (!job.mayHaveRun)
@@ -578,7 +583,7 @@
         context->onCancel = {};
         // The server may have become unusable or cold during the connect.
         const bool isStillEligible = isUsable(*server) && (wasCold || !isCold(*server, Clock::now()))
-            && !this->isHeld(Clock::now()) && (!server->rateLimit.perSecond || Clock::now() < job.permitUntil);
+            && !this->isHeld(Clock::now()) && isPermitValid(job, *server, Clock::now());
         if (!connected || context->isCancelled || context->isAborted || !isStillEligible) {
             connection->close();
             --server->inFlight;
@@ -685,24 +690,30 @@
     return true;
 }
 
-PermitReply Forwarder::decidePermit(BackendServer& server, TimePoint now)
+PermitReply Forwarder::decidePermit(BackendServer& server, Duration maximumDelay, TimePoint now)
 {
     PermitReply reply;
     reply.limit = server.rateLimit;
+    reply.nextAvailable = Duration {};
     if (!server.rateLimit.perSecond) {
         reply.isGranted = true;
         return reply;
     }
     const PermitDecision decision
-        = takePermit(server.permits, *server.rateLimit.perSecond, now < this->permitHandoverEnd, now);
+        = takePermit(server.permits, *server.rateLimit.perSecond, now < this->permitHandoverEnd, maximumDelay, now);
     reply.isGranted = decision.isGranted;
-    reply.retryAfter = decision.retryAfter;
+    reply.delay = decision.delay;
+    reply.nextAvailable = decision.nextAvailable;
+    reply.retryAfter = std::max<Duration>(decision.nextAvailable - maximumDelay, Duration {});
     return reply;
 }
 
 PermitReply Forwarder::answerPermitRequest(const PermitRequest& request, TimePoint now)
 {
-    PermitReply reply { .number = request.number, .retryAfter = foreignPermitBackoff, .limit = request.limit };
+    PermitReply reply;
+    reply.number = request.number;
+    reply.retryAfter = foreignPermitBackoff;
+    reply.limit = request.limit;
     const ServerPointer server = this->catalog->find(request.server);
     if (!server)
         return reply;
@@ -711,7 +722,7 @@
     const bool isCoordinator = this->permitCoordinator && !this->permitCoordinator(*server);
     if (request.number == 0 || !isCoordinator)
         return reply;
-    reply = this->decidePermit(*server, now);
+    reply = this->decidePermit(*server, request.maximumDelay, now);
     reply.number = request.number;
     return reply;
 }
@@ -738,36 +749,68 @@
     return result;
 }
 
-Awaitable<bool> Forwarder::obtainPermit(Job& job, const ServerPointer& server)
+Awaitable<PermitReply> Forwarder::askForPermit(
+    std::shared_ptr<RequestContext> context, ServerPointer server, Duration maximumDelay, TimePoint deadline)
 {
     const auto self = this->shared_from_this();
-    const auto context = job.context;
     const std::optional<HostPort> coordinator
         = this->permitCoordinator ? this->permitCoordinator(*server) : std::nullopt;
     const TimePoint askedAt = Clock::now();
-    PermitReply reply;
-    if (!coordinator) {
-        reply = this->decidePermit(*server, askedAt);
-    } else {
-        const std::function<void(std::function<void()>)> setCancel
-            = [context](std::function<void()> cancel) { context->onCancel = std::move(cancel); };
-        const Duration timeout = permitReplyAllowance + 2 * server->connectTime;
-        const std::optional<PermitReply> received = co_await this->permits->ask(
-            *coordinator, server->entry.id, server->rateLimit, std::min(timeout, job.deadline - askedAt), setCancel);
-        if (received)
-            this->mergeServerLimit(server, received->limit, "coordinator");
-        reply = received.value_or(PermitReply { .number = 0, .retryAfter = silentCoordinatorBackoff, .limit = {} });
+    if (!coordinator)
+        co_return this->decidePermit(*server, maximumDelay, askedAt);
+    const std::function<void(std::function<void()>)> setCancel
+        = [context](std::function<void()> cancel) { context->onCancel = std::move(cancel); };
+    const Duration timeout = std::min<Duration>(permitReplyAllowance + 2 * server->connectTime, deadline - askedAt);
+    PermitRequest request {
+        .number = 0, .server = server->entry.id, .maximumDelay = maximumDelay, .limit = server->rateLimit
+    };
+    const std::optional<PermitReply> received
+        = co_await this->permits->ask(*coordinator, std::move(request), timeout, setCancel);
+    if (received) {
+        this->mergeServerLimit(server, received->limit, "coordinator");
+        co_return *received;
     }
+    PermitReply silence;
+    silence.retryAfter = silentCoordinatorBackoff;
+    co_return silence;
+}
+
+Awaitable<bool> Forwarder::obtainPermit(Job& job, const ServerPointer& server, const CompletionEstimate& expected)
+{
+    const auto self = this->shared_from_this();
+    const auto context = job.context;
+    const TimePoint askedAt = Clock::now();
+    const PermitReply reply = co_await this->askForPermit(context, server, expected.maximumPermitDelay, job.deadline);
     this->counters.recordPermit(job.service, reply.isGranted);
-    const TimePoint now = Clock::now();
-    if (!reply.isGranted) {
-        server->permitRetryAt = std::max(server->permitRetryAt, now + reply.retryAfter);
+    const TimePoint repliedAt = Clock::now();
+    if (reply.nextAvailable)
+        server->permitAvailableAt = repliedAt + *reply.nextAvailable;
+    else if (!reply.isGranted)
+        server->permitRetryAt = repliedAt + reply.retryAfter;
+    if (!reply.isGranted)
         co_return false;
+    job.permittedRate = reply.limit.perSecond.value_or(std::numeric_limits<double>::infinity());
+    job.permitUntil = askedAt + reply.delay + permitLifetime;
+    if (reply.delay > Duration {}) {
+        auto timer = std::make_shared<asio::steady_timer>(this->executor, repliedAt + reply.delay);
+        context->onCancel = [timer] { timer->cancel(); };
+        co_await timer->async_wait(useTuple);
+        context->onCancel = {};
+        job.queued += Clock::now() - repliedAt;
     }
-    job.permitUntil = askedAt + permitLifetime;
     // The server may have become unusable or cold during the wait, or have got another request while cold.
+    const TimePoint now = Clock::now();
     co_return !context->isCancelled && !context->isAborted && now < job.deadline && isUsable(*server)
-        && now >= server->backoffUntil && this->mayUseCold(*server, now) && !this->isHeld(now);
+        && now >= server->backoffUntil && this->mayUseCold(*server, now) && !this->isHeld(now)
+        && isPermitValid(job, *server, now);
+}
+
+bool Forwarder::isPermitValid(const Job& job, const BackendServer& server, TimePoint now)
+{
+    // A permit that was reserved under a higher limit would come on top of those under the current one.
+    if (!server.rateLimit.perSecond)
+        return true;
+    return now < job.permitUntil && *server.rateLimit.perSecond >= validLimitFraction * job.permittedRate;
 }
 
 void Forwarder::onConnectFailure(const ServerPointer& server, TimePoint now)
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -166,11 +166,17 @@
         Job& job, const ServerPointer& server, const CompletionEstimate& expected);
     void recordAttemptResult(Job& job, const ServerPointer& server, const CompletionEstimate& expected,
         const ServerResponse& response, unsigned loadAtSend, TimePoint sentAt);
-    /// Obtains a permit if the server has a rate limit. Without one, the server is excluded for some time.
-    Awaitable<bool> obtainPermit(Job& job, const ServerPointer& server);
+    /// Asks the coordinator of \a server, which may be this instance.
+    Awaitable<PermitReply> askForPermit(
+        std::shared_ptr<RequestContext> context, ServerPointer server, Duration maximumDelay, TimePoint deadline);
+    /// Obtains a permit to send to a server with a rate limit, and waits until it may be used. If there is none in
+    /// time, the server is left out until one may be available.
+    Awaitable<bool> obtainPermit(Job& job, const ServerPointer& server, const CompletionEstimate& expected);
+    /// Whether the job may still use its permit, or needs none.
+    static bool isPermitValid(const Job& job, const BackendServer& server, TimePoint now);
     /// Adopts a newer state of the server's limit and logs a change. Returns whether it changed.
     bool mergeServerLimit(const ServerPointer& server, const RateLimitState& limit, std::string_view source);
-    PermitReply decidePermit(BackendServer& server, TimePoint now);
+    PermitReply decidePermit(BackendServer& server, Duration maximumDelay, TimePoint now);
     void onConnectFailure(const ServerPointer& server, TimePoint now);
     void onServerCrash(const ServerPointer& server, TimePoint now);
     bool shouldRetry(const Job& job, const ServerResponse& response, TimePoint now);
--- a/src/libs/forwarding/permitclient.cpp
+++ b/src/libs/forwarding/permitclient.cpp
@@ -8,18 +8,18 @@
 {
 }
 
-Awaitable<std::optional<PermitReply>> PermitClient::ask(HostPort coordinator, std::string server, RateLimitState limit,
-    Duration timeout, std::function<void(std::function<void()>)> setCancel)
+Awaitable<std::optional<PermitReply>> PermitClient::ask(
+    HostPort coordinator, PermitRequest request, Duration timeout, std::function<void(std::function<void()>)> setCancel)
 {
     const auto self = this->shared_from_this();
     if (!this->send)
         co_return std::nullopt;
     const TimePoint now = Clock::now();
     const std::uint64_t number = ++this->lastNumber;
+    request.number = number;
     auto waiting = std::make_shared<Pending>(Pending { asio::steady_timer(this->executor, now + timeout), {} });
     this->pending[number] = waiting;
     setCancel([waiting] { waiting->timer.cancel(); });
-    const PermitRequest request { .number = number, .server = std::move(server), .limit = limit };
     this->send(coordinator, encodePermitMessage(request, now));
     co_await waiting->timer.async_wait(useTuple);
     setCancel({});
@@ -31,7 +31,7 @@
 {
     if (!this->send)
         return;
-    const PermitRequest request { .number = 0, .server = server, .limit = limit };
+    const PermitRequest request { .number = 0, .server = server, .maximumDelay = {}, .limit = limit };
     this->send(coordinator, encodePermitMessage(request, Clock::now()));
 }
 
--- a/src/libs/forwarding/permitclient.h
+++ b/src/libs/forwarding/permitclient.h
@@ -21,10 +21,10 @@
     /// Sends an encoded message to another instance; set by the owner.
     std::function<void(const HostPort& instance, const std::string& text)> send;
 
-    /// Asks \a coordinator for a permit. Empty when no reply arrives within \a timeout. \a setCancel receives the
-    /// function that ends the wait, and an empty one afterwards.
-    Awaitable<std::optional<PermitReply>> ask(HostPort coordinator, std::string server, RateLimitState limit,
-        Duration timeout, std::function<void(std::function<void()>)> setCancel);
+    /// Asks \a coordinator for a permit; sets the number of \a request. Empty when no reply arrives within \a timeout.
+    /// \a setCancel receives the function that ends the wait, and an empty one afterwards.
+    Awaitable<std::optional<PermitReply>> ask(HostPort coordinator, PermitRequest request, Duration timeout,
+        std::function<void(std::function<void()>)> setCancel);
 
     /// Tells \a coordinator about a change of the server's limit.
     void report(const HostPort& coordinator, const std::string& server, const RateLimitState& limit);
--- a/src/libs/forwarding/permitmessage.h
+++ b/src/libs/forwarding/permitmessage.h
@@ -14,13 +14,18 @@
 struct PermitRequest {
     std::uint64_t number = 0; ///< Copied to the reply; 0 when none is wanted.
     std::string server;
+    Duration maximumDelay {}; ///< A permit that may be used within this time is reserved.
     RateLimitState limit;
 };
 
 struct PermitReply {
     std::uint64_t number = 0;
     bool isGranted = false;
-    Duration retryAfter {}; ///< Valid when not granted.
+    Duration delay {}; ///< Time after which a granted permit may be used.
+    /// Time after which the next permit may be used, at the earliest. Empty when the receiver of the request is not the
+    /// coordinator.
+    std::optional<Duration> nextAvailable;
+    Duration retryAfter {}; ///< No further request before this time, if not granted.
     RateLimitState limit; ///< As the coordinator knows it.
 };
 
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -127,24 +127,48 @@
         > processingTime.uncached - processingTime.cached;
 }
 
+CacheAffinity cacheAffinity(const BackendServer& server, const PlacementRequest& request, TimePoint now)
+{
+    if (isCached(server, request, now))
+        return CacheAffinity::Cached;
+    return &server == request.home ? CacheAffinity::Home : CacheAffinity::Uncached;
+}
+
+double expectedSlowdown(const BackendServer& server, TimePoint now)
+{
+    return std::max(server.slowdown, isCold(server, now) ? coldSlowdown : 0.0);
+}
+
+Duration permitDelay(const BackendServer& server, TimePoint now)
+{
+    return server.rateLimit.perSecond ? std::max<Duration>(server.permitAvailableAt - now, Duration {}) : Duration {};
+}
+
+Duration maximumPermitDelay(const BackendServer& server, const PlacementRequest& request, TimePoint now)
+{
+    const Duration processingTime
+        = scaled(request.processingTime.of(cacheAffinity(server, request, now)), expectedSlowdown(server, now));
+    const Duration spare = request.targetTimeLeft - server.connectTime - processingTime;
+    return std::clamp<Duration>(spare, Duration {}, permitReservationLimit);
+}
+
 CompletionEstimate estimateCompletion(
     const BackendServer& server, const PlacementRequest& request, const PlacementParameters& parameters, TimePoint now)
 {
     CompletionEstimate result;
-    if (isCached(server, request, now))
-        result.cacheAffinity = CacheAffinity::Cached;
-    else if (&server == request.home)
-        result.cacheAffinity = CacheAffinity::Home;
-    const double slowdown = std::max(server.slowdown, isCold(server, now) ? coldSlowdown : 0.0);
+    result.cacheAffinity = cacheAffinity(server, request, now);
+    result.maximumPermitDelay = maximumPermitDelay(server, request, now);
+    const double slowdown = expectedSlowdown(server, now);
     const Duration processingTime = scaled(request.processingTime.of(result.cacheAffinity), slowdown);
     const double slots = std::max(1U, server.entry.slots);
     const double load = outstandingRequests(server, now);
     const double ahead = std::max(0.0, load + 1 - slots) / slots;
     // Queued requests are mostly for objects that the server has cached.
-    const Duration wait = scaled(request.processingTime.cached, slowdown * ahead);
+    const Duration untilPermit = permitDelay(server, now);
+    const Duration wait = untilPermit + scaled(request.processingTime.cached, slowdown * ahead);
     result.completion = server.connectTime + wait + processingTime;
     result.bestCaseCompletion = server.connectTime + wait + scaled(request.processingTime.cached, slowdown);
-    result.mustQueue = load + 1 > slots;
+    result.mustQueue = load + 1 > slots || untilPermit > Duration {};
     result.cost = result.completion + distanceCost(server, request.bytes, parameters)
         + scaled(request.processingTime.uncached, utilizationCostFraction * load / slots)
         + scaled(processingTime, parameters.queueingCostFraction * std::min(1.0, load / slots))
@@ -183,7 +207,9 @@
         return ExclusionReason::Suspect;
     if (isCold(server, now) && !mayUseCold)
         return ExclusionReason::ColdLimit;
-    if (server.rateLimit.perSecond && now < server.permitRetryAt)
+    const bool hasNoPermit
+        = now < server.permitRetryAt || permitDelay(server, now) > maximumPermitDelay(server, request, now);
+    if (server.rateLimit.perSecond && hasNoPermit)
         return ExclusionReason::RateLimited;
     const bool isLate = request.targetTimeLeft < request.processingTime.cached;
     const double probability = cacheProbability(server, request, now);
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -93,7 +93,8 @@
     Duration completion {}; ///< From now until the complete response.
     Duration cost {}; ///< Completion time plus penalties for distance, load and failures; the least cost wins.
     Duration bestCaseCompletion {}; ///< With the processing time for a cached object and the expected waiting time.
-    bool mustQueue = false; ///< All slots of the server are in use.
+    bool mustQueue = false; ///< All slots of the server are in use, or the next permit is not available yet.
+    Duration maximumPermitDelay {}; ///< See maximumPermitDelay().
     CacheAffinity cacheAffinity = CacheAffinity::Uncached;
 };
 
@@ -106,6 +107,11 @@
 CompletionEstimate estimateCompletion(
     const BackendServer& server, const PlacementRequest& request, const PlacementParameters& parameters, TimePoint now);
 
+/// How long the request may wait for a permit under the server's rate limit. Only requests that still meet their target
+/// latency afterwards reserve permits in advance: in a shortage, a queue that also holds the others would make all
+/// responses late.
+Duration maximumPermitDelay(const BackendServer& server, const PlacementRequest& request, TimePoint now);
+
 /// Why \a server cannot be chosen at \a now; `None` if it can. \a mayUseCold tells whether the rate limit for cold
 /// servers allows a request to this one.
 ExclusionReason exclusionReason(const BackendServer& server, const PlacementRequest& request,
--- a/src/libs/forwarding/ratelimit.cpp
+++ b/src/libs/forwarding/ratelimit.cpp
@@ -17,9 +17,6 @@
 /// Part of the limit that is granted while another instance may still coordinate the same server.
 constexpr double handoverFraction = 0.3;
 
-/// Longest time until a denied request for a permit is repeated.
-constexpr milliseconds maximumRetryAfter { 2000 };
-
 } // namespace
 
 std::optional<double> parseRateLimit(std::string_view text)
@@ -45,7 +42,8 @@
     return { .perSecond = perSecond, .asOf = perSecond ? receivedAt : sentAt };
 }
 
-PermitDecision takePermit(PermitBucket& bucket, double perSecond, bool isHandedOver, TimePoint now)
+PermitDecision takePermit(
+    PermitBucket& bucket, double perSecond, bool isHandedOver, Duration maximumDelay, TimePoint now)
 {
     const double rate = std::max(minimumPerSecond, perSecond * (isHandedOver ? handoverFraction : 1.0));
     const Duration interval = fromSeconds(1.0 / rate);
@@ -55,17 +53,16 @@
         bucket.createdAt = now;
         bucket.theoreticalArrival = now + tolerance + interval;
     }
+    // After a lower limit, the next permit may lie further ahead than the current limit warrants.
+    const TimePoint latestArrival = now + tolerance + interval + permitReservationLimit;
+    bucket.theoreticalArrival = std::min(bucket.theoreticalArrival, latestArrival);
+    const auto untilNext = [&] { return std::max(bucket.theoreticalArrival - tolerance - now, Duration {}); };
+    const Duration delay = untilNext();
+    if (delay > std::min<Duration>(maximumDelay, permitReservationLimit))
+        return { .nextAvailable = delay };
     // A limit that fell leaves at most the permits of the burst time.
-    const Duration untilNext = bucket.theoreticalArrival - tolerance - now;
-    if (untilNext <= Duration {}) {
-        bucket.theoreticalArrival = std::max(bucket.theoreticalArrival, now) + interval;
-        return { .isGranted = true };
-    }
-    // Instances that are denied at the same time are told to ask again one after the other.
-    const TimePoint retryAt = std::max(now + untilNext, bucket.queuedUntil);
-    if (retryAt - now < maximumRetryAfter)
-        bucket.queuedUntil = retryAt + interval;
-    return { .retryAfter = std::min<Duration>(retryAt - now, maximumRetryAfter) };
+    bucket.theoreticalArrival = std::max(bucket.theoreticalArrival, now) + interval;
+    return { .isGranted = true, .delay = delay, .nextAvailable = untilNext() };
 }
 
 double slotsWithinRateLimit(const RateLimitState& state, unsigned slots, Duration processingTime)
--- a/src/libs/forwarding/ratelimit.h
+++ b/src/libs/forwarding/ratelimit.h
@@ -33,20 +33,26 @@
 struct PermitBucket {
     TimePoint theoreticalArrival {}; ///< When all permits granted so far would have been used at the stated rate.
     TimePoint createdAt {}; ///< Of the first request for a permit; unset before.
-    TimePoint queuedUntil {}; ///< When all denied requests would have been granted, if they asked again.
 };
 
 struct PermitDecision {
     bool isGranted = false;
-    Duration retryAfter {}; ///< When the next request for a permit is likely to be granted, if this one is not.
+    Duration delay {}; ///< Time from now after which a granted permit may be used.
+    Duration nextAvailable {}; ///< Time from now after which the next permit may be used, at the earliest.
 };
 
 /// Unused permits are kept for this time, to follow the irregular arrival of requests.
 inline constexpr milliseconds permitBurstTime { 500 };
 
-/// Decides on one request. The bucket starts empty, as the coordinator before may just have used up the limit. While
-/// instances may still ask another coordinator, \a isHandedOver is set, and only part of the limit is granted.
-PermitDecision takePermit(PermitBucket& bucket, double perSecond, bool isHandedOver, TimePoint now);
+/// Permits are reserved no longer than this in advance, so that a limit that changes takes effect soon.
+inline constexpr seconds permitReservationLimit { 1 };
+
+/// Decides on one request. The next permit is reserved if it is available within \a maximumDelay: in a shortage, a
+/// permit that becomes available while no request asks for it would be lost. The bucket starts empty, as the
+/// coordinator before may just have used up the limit. While instances may still ask another coordinator, \a
+/// isHandedOver is set, and only part of the limit is granted.
+PermitDecision takePermit(
+    PermitBucket& bucket, double perSecond, bool isHandedOver, Duration maximumDelay, TimePoint now);
 
 /// Time after its start for which an instance grants only part of the limits that it coordinates. By its end, all
 /// others have read its registration from the store.
