Count the hand-over of rate limits from the time an instance is ready

Cause: a new coordinator grants a third of the limit for 3 s, since others may still ask the one before it. The time ran from the start of the process, but the others ask the new one only from the time that it is ready. Class: a deadline that is counted from the wrong event. Change: the forwarder counts from its first configuration; the setter is gone.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -210,6 +210,8 @@
 {
     if (this->currentConfiguration && newConfiguration->version <= this->currentConfiguration->version)
         return false;
+    if (!this->currentConfiguration)
+        this->configuredAt = Clock::now();
     this->currentConfiguration = std::move(newConfiguration);
     std::map<std::string, std::shared_ptr<RouteState>> kept;
     for (const Route& route : this->currentConfiguration->routes) {
@@ -699,8 +701,9 @@
         reply.isGranted = true;
         return reply;
     }
+    const bool isHandedOver = now < this->configuredAt + permitHandoverTime;
     const PermitDecision decision
-        = takePermit(server.permits, *server.rateLimit.perSecond, now < this->permitHandoverEnd, maximumDelay, now);
+        = takePermit(server.permits, *server.rateLimit.perSecond, isHandedOver, maximumDelay, now);
     reply.isGranted = decision.isGranted;
     reply.delay = decision.delay;
     reply.nextAvailable = decision.nextAvailable;
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -105,8 +105,6 @@
     void recordRateLimits(const std::map<std::string, RateLimitState>& limits);
     /// Rate limits of the servers that this instance coordinates, for its heartbeats.
     std::map<std::string, RateLimitState> coordinatedRateLimits(TimePoint now);
-    /// From this time on, all instances know this one and ask it for permits.
-    void setPermitHandoverEnd(TimePoint end) { this->permitHandoverEnd = end; }
 
     /// Called when the process was paused for so long that its knowledge of the backend servers may be outdated. Until
     /// confirmKnowledge() is called, or for a limited time if it is not, requests are not sent.
@@ -221,7 +219,7 @@
     std::size_t zoneInstanceCount = 1;
     std::shared_ptr<PermitClient> permits;
     std::set<std::string> rateLimitedServers; ///< With a limit, or one that ended a short time ago.
-    TimePoint permitHandoverEnd {};
+    TimePoint configuredAt {}; ///< When this instance became ready.
     std::map<std::string, Duration> processingTimeByService; ///< Moving averages.
     Random random;
     ForwardingMetrics counters;
--- a/src/libs/forwarding/ratelimit.h
+++ b/src/libs/forwarding/ratelimit.h
@@ -54,8 +54,8 @@
 PermitDecision takePermit(
     PermitBucket& bucket, double perSecond, bool isHandedOver, Duration maximumDelay, TimePoint now);
 
-/// Time after its start for which an instance grants only part of the limits that it coordinates. By its end, all
-/// others have read its registration from the store.
+/// Time after it became ready for which an instance grants only part of the limits that it coordinates. By its end, all
+/// others have learned of it and no longer ask the coordinator before it.
 inline constexpr seconds permitHandoverTime { 3 };
 
 /// A permit that was not used within this time has lapsed, so that delayed requests do not add up.
--- a/src/libs/forwarding/tst_ratelimitfleet.cpp
+++ b/src/libs/forwarding/tst_ratelimitfleet.cpp
@@ -191,3 +191,22 @@
     }
     CHECK(Clock::now() - begin < seconds(4));
 }
+
+TEST_CASE("A coordinator that became ready long after its start does not double a rate limit")
+{
+    Fleet fleet;
+    const TimePoint ready = Clock::now();
+    const auto grantsBetween = [&](milliseconds from, milliseconds until) {
+        int granted = 0;
+        for (TimePoint now = ready + from; now < ready + until; now += milliseconds(10)) {
+            const PermitRequest request {
+                .number = 1, .server = "limited", .maximumDelay = {}, .limit = { 10.0, now }
+            };
+            granted += fleet.instances[0]->answerPermitRequest(request, now).isGranted ? 1 : 0;
+        }
+        return granted;
+    };
+    // The coordinator before it may grant 30 in this time.
+    CHECK(grantsBetween(milliseconds(0), permitHandoverTime) <= 15);
+    CHECK(grantsBetween(permitHandoverTime + milliseconds(100), 2 * permitHandoverTime) >= 25);
+}
