--- a/src/libs/forwarding/configuration.cpp
+++ b/src/libs/forwarding/configuration.cpp
@@ -36,6 +36,11 @@
     }
 }
 
+bool supersedes(const Configuration& candidate, const Configuration* current)
+{
+    return current == nullptr || candidate.version > current->version;
+}
+
 const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path)
 {
     const std::string normalized = normalizedHost(host);
--- a/src/libs/forwarding/configuration.h
+++ b/src/libs/forwarding/configuration.h
@@ -68,6 +68,10 @@
 /// latency. In a shared queue, their requests would delay the urgent ones.
 void markLowPriorityRoutes(Configuration& configuration);
 
+/// Whether \a candidate takes the place of \a current, which may be null. A store that was restored from a copy shows
+/// an older version until the newer one is written again.
+bool supersedes(const Configuration& candidate, const Configuration* current);
+
 /// The route with the longest prefix of \a path among those of \a host; nullptr when there is none. \a host may have a
 /// port and upper-case letters; \a path may have a query.
 const Route* findRoute(const Configuration& configuration, std::string_view host, std::string_view path);
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -208,7 +208,7 @@
 
 bool Forwarder::configure(std::shared_ptr<const Configuration> newConfiguration)
 {
-    if (this->currentConfiguration && newConfiguration->version <= this->currentConfiguration->version)
+    if (!supersedes(*newConfiguration, this->currentConfiguration.get()))
         return false;
     if (!this->currentConfiguration)
         this->configuredAt = Clock::now();
--- a/src/libs/forwarding/tst_configuration.cpp
+++ b/src/libs/forwarding/tst_configuration.cpp
@@ -47,6 +47,20 @@
     SECTION("another host has no route") { CHECK(findRoute(configuration, "other.example", "/stock/7") == nullptr); }
 }
 
+TEST_CASE("A store that was restored from a copy does not bring an older configuration back")
+{
+    Configuration known;
+    known.version = 11;
+    Configuration listed;
+    CHECK(supersedes(listed, nullptr));
+    for (const std::uint64_t version : { 0U, 9U, 11U }) {
+        listed.version = version;
+        CHECK_FALSE(supersedes(listed, &known));
+    }
+    listed.version = 12;
+    CHECK(supersedes(listed, &known));
+}
+
 TEST_CASE("Weighted services of a route")
 {
     Route route = routeTo("r", "/", "main");
