Do not serve followers from before a restore that an instance has seen

An instance that had just seen a restore of the store told its followers for up to a second that nothing had changed. Cause: any answer of the store or of a watcher counted as contact, also one whose only content is that the era is another. Class: the age of what is known is taken from an answer that does not confirm it. Change: only an answer of the same era counts.

--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -306,7 +306,8 @@
         if (this->onWatcherCall)
             this->onWatcherCall(isUsed);
         if (isUsed) {
-            this->relay->recordContact(kind, Clock::now() - valueOf(relayed).age);
+            if (valueOf(relayed).changes.era == position.era)
+                this->relay->recordContact(kind, Clock::now() - valueOf(relayed).age);
             co_return valueOf(relayed).changes;
         }
         last = isOk(relayed) ? makeError(ResultCode::PlatformBadAnswer, "the watcher has lost the store")
@@ -329,7 +330,8 @@
 {
     const Result<ChangeSet> result = co_await this->store->changes(kind, position, wait, freshness);
     const TimePoint now = Clock::now();
-    if (isOk(result) && freshness == Freshness::Latest)
+    // A response of another era shows only that what is known here must be listed again.
+    if (isOk(result) && freshness == Freshness::Latest && valueOf(result).era == position.era)
         this->relay->recordContact(kind, now);
     else if (!isOk(result) && errorOf(result).code != ResultCode::PlatformHistoryLost)
         this->storeFailedAt = now;
--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -320,6 +320,28 @@
             CHECK(knowsRemovalInTime());
             CHECK(follower.listsAfterOutage == 1);
         }
+        SECTION("and makes no instance serve what it knew before as current")
+        {
+            for (Instance* instance : { &first, &second, &follower })
+                instance->watcher->stop();
+            context.run_for(2 * changeBound);
+            const unsigned responses = usedResponses;
+            const auto ask = [&](Instance& instance, StorePosition position) {
+                asio::co_spawn(
+                    context,
+                    [source = instance.source, position]() -> Awaitable<void> {
+                        co_await source->changes(kind, position, milliseconds(1), Freshness::Latest);
+                    },
+                    asio::detached);
+                context.run_for(milliseconds(100));
+            };
+            store.restore(11);
+            second.assignment = { RelayRole::Alone, {}, {} };
+            ask(second, second.listedAt);
+            follower.assignment.watchers = { second.address() };
+            ask(follower, second.listedAt);
+            CHECK(usedResponses == responses);
+        }
         SECTION("and goes back again, while the watcher is cut off")
         {
             context.run_for(changeBound);
