Send peers deltas of bundles

Cause: peers answered each fetch with the full bundle, 347 KB at 2,280 servers. Change: textdelta encodes the differences of two canonical texts as ranges and inserted text; bundletransfer keeps the last four accepted bundles and sends a delta to callers that accept one and have one of them. getBundle has a new optional parameter, so instances of earlier releases still get full bundles. A delta that cannot be used is followed by a fetch of the full bundle; digest and signatures are checked as before.

--- a/src/app/entry/fleetlink.cpp
+++ b/src/app/entry/fleetlink.cpp
@@ -7,12 +7,8 @@
 #include "bundle/rolloutrecords.h"
 #include "bundle/signature.h"
 
-#include <boost/json.hpp>
-
 namespace clementinefall::entry {
 
-namespace json = boost::json;
-
 namespace {
 
 constexpr milliseconds fetchDeadline { 1000 };
@@ -75,8 +71,10 @@
 peers::PeerHandlers FleetLink::peerHandlers()
 {
     peers::PeerHandlers result;
-    result.getBundle
-        = [this](std::uint64_t peerVersion, const std::string&) { return this->bundleNewerThan(peerVersion); };
+    result.getBundle = [this](const peers::BundleQuery& query) {
+        this->rememberAccepted();
+        return bundleResponse(this->history, query);
+    };
     result.announce = [this](const peers::PeerIdentity& peer, std::uint64_t version, const std::string&) {
         const membership::Member* member = membership::findMemberByName(this->table(), peer.name);
         if (!member)
@@ -97,38 +95,31 @@
     return result;
 }
 
-peers::BundleResponse FleetLink::bundleNewerThan(std::uint64_t peerVersion) const
+void FleetLink::rememberAccepted()
 {
-    peers::BundleResponse response;
     const bundle::AdoptionState& state = this->watcher->state();
-    if (!state.accepted || state.acceptedVersion <= peerVersion)
-        return response;
+    if (!state.accepted || newestVersion(this->history) >= state.acceptedVersion)
+        return;
     bundle::SignOffRecord signOffs;
     signOffs.version = state.acceptedVersion;
     signOffs.digest = state.acceptedDigest;
     signOffs.signOffs = this->watcher->acceptedSignOffs();
-    response.kind = peers::BundleKind::Full;
-    response.version = state.acceptedVersion;
-    response.digest = state.acceptedDigest;
-    response.content = json::serialize(json::object {
-        { "bundle", bundle::serializeBundle(*state.accepted) },
-        { "signOffs", bundle::serializeSignOffs(signOffs) },
-    });
-    return response;
+    rememberBundle(this->history,
+        { .version = state.acceptedVersion,
+            .digest = state.acceptedDigest,
+            .text = bundle::serializeBundle(*state.accepted),
+            .signOffs = bundle::serializeSignOffs(signOffs) });
 }
 
 Status FleetLink::adoptFromPeer(const peers::BundleResponse& response)
 {
-    json::error_code error;
-    const json::value document = json::parse(response.content, error);
-    if (error || !document.is_object() || !document.get_object().contains("bundle")
-        || !document.get_object().contains("signOffs") || !document.at("bundle").is_string()
-        || !document.at("signOffs").is_string())
-        return makeError(ResultCode::PeerBadMessage, "the bundle received from a peer cannot be parsed");
-    Result<bundle::Bundle> parsed = bundle::parseBundle(document.at("bundle").get_string());
+    const Result<KnownBundle> received = receivedBundle(this->history, response);
+    if (!isOk(received))
+        return errorOf(received);
+    Result<bundle::Bundle> parsed = bundle::parseBundle(valueOf(received).text);
     if (!isOk(parsed))
         return errorOf(parsed);
-    const bundle::StoredObject object { "signoffs", 1, std::string(document.at("signOffs").get_string()) };
+    const bundle::StoredObject object { "signoffs", 1, valueOf(received).signOffs };
     const Result<bundle::SignOffRecord> signOffs = bundle::readSignOffs(object);
     if (!isOk(signOffs))
         return errorOf(signOffs);
@@ -159,6 +150,7 @@
     }
     this->transport->setHints(std::move(hints));
     const bundle::AdoptionState& state = this->watcher->state();
+    this->rememberAccepted();
     membership::InstanceReport report;
     report.newestBundle = state.acceptedVersion;
     report.newestDigest = state.acceptedDigest.substr(0, membership::maximumDigestBytes);
@@ -191,11 +183,13 @@
     const auto onFetched = [this, id = action.id](const Result<peers::BundleResponse>& response) {
         Status status = isOk(response) ? okStatus() : Status(errorOf(response));
         if (isOk(response)) {
-            status = valueOf(response).kind == peers::BundleKind::Full
-                ? this->adoptFromPeer(valueOf(response))
-                : Status(makeError(ResultCode::PeerBadMessage, "the peer has no newer bundle"));
+            status = this->adoptFromPeer(valueOf(response));
+            this->mustFetchFull = !isOk(status) && valueOf(response).kind == peers::BundleKind::Delta;
         }
         if (isOk(status)) {
+            logInfo("bundle_fetched",
+                { { "version", valueOf(response).version }, { "bytes", valueOf(response).content.size() },
+                    { "delta", valueOf(response).kind == peers::BundleKind::Delta } });
             peers::fetchSucceeded(this->dissemination, id);
             return;
         }
@@ -204,7 +198,10 @@
         peers::fetchFailed(this->dissemination, this->table(), Clock::now(), this->random, id, actions);
         this->runActions(std::move(actions));
     };
-    this->client->getBundle(action.from, action.haveVersion, action.haveDigest, fetchDeadline, onFetched);
+    const peers::BundleQuery query {
+        .haveVersion = action.haveVersion, .haveDigest = action.haveDigest, .acceptsDelta = !this->mustFetchFull
+    };
+    this->client->getBundle(action.from, query, fetchDeadline, onFetched);
 }
 
 void FleetLink::queryZone(const steering::ShareQuery& query)
--- a/src/app/entry/fleetlink.h
+++ b/src/app/entry/fleetlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "bundletransfer.h"
 #include "bundlewatcher.h"
 #include "peers/dissemination.h"
 #include "peers/membershiptransport.h"
@@ -59,10 +60,11 @@
 
 private:
     peers::PeerHandlers peerHandlers();
-    peers::BundleResponse bundleNewerThan(std::uint64_t peerVersion) const;
     void runActions(peers::DisseminationActions actions);
     void fetch(const peers::FetchAction& action);
     Status adoptFromPeer(const peers::BundleResponse& response);
+    /// Adds the accepted bundle to the history if it is new there.
+    void rememberAccepted();
 
     asio::io_context& context;
     std::shared_ptr<BundleWatcher> watcher;
@@ -73,6 +75,8 @@
     std::unique_ptr<peers::PeerServer> server;
     std::unique_ptr<peers::PeerClient> client;
     peers::DisseminationState dissemination;
+    BundleHistory history;
+    bool mustFetchFull = false; ///< The last delta could not be used.
     std::vector<HostPort> zonePeers; ///< Other instances of the local zone.
 };
 
--- a/src/libs/peers/peerclient.cpp
+++ b/src/libs/peers/peerclient.cpp
@@ -333,14 +333,15 @@
 
 PeerClient::~PeerClient() = default;
 
-void PeerClient::getBundle(const HostPort& peer, std::uint64_t haveVersion, const std::string& haveDigest,
-    milliseconds deadline, PeerCallback<BundleResponse> callback)
+void PeerClient::getBundle(
+    const HostPort& peer, const BundleQuery& query, milliseconds deadline, PeerCallback<BundleResponse> callback)
 {
     this->implementation->call<BundleResponse>(
-        peer, deadline, std::move(callback), [haveVersion, haveDigest](wire::Peer::Client& client) {
+        peer, deadline, std::move(callback), [query](wire::Peer::Client& client) {
             auto request = client.getBundleRequest();
-            request.setHaveVersion(haveVersion);
-            request.setHaveDigest(dataOf(haveDigest));
+            request.setHaveVersion(query.haveVersion);
+            request.setHaveDigest(dataOf(query.haveDigest));
+            request.setAcceptsDelta(query.acceptsDelta);
             return request.send().then(
                 [](capnp::Response<wire::Peer::GetBundleResults>&& results) { return readBundle(results); });
         });
--- a/src/libs/peers/peerclient.h
+++ b/src/libs/peers/peerclient.h
@@ -35,8 +35,8 @@
     PeerClient& operator=(const PeerClient&) = delete;
 
     /// Each call completes or fails within \a deadline, including the time to connect.
-    void getBundle(const HostPort& peer, std::uint64_t haveVersion, const std::string& haveDigest,
-        milliseconds deadline, PeerCallback<BundleResponse> callback);
+    void getBundle(
+        const HostPort& peer, const BundleQuery& query, milliseconds deadline, PeerCallback<BundleResponse> callback);
     void announce(const HostPort& peer, std::uint64_t version, const std::string& digest, milliseconds deadline,
         PeerCallback<std::monostate> callback);
     void reportCrash(
--- a/src/libs/peers/peermessages.h
+++ b/src/libs/peers/peermessages.h
@@ -34,6 +34,12 @@
     friend bool operator==(const SignOff&, const SignOff&) = default;
 };
 
+struct BundleQuery {
+    std::uint64_t haveVersion = 0; ///< 0 without a bundle.
+    std::string haveDigest; ///< Raw bytes.
+    bool acceptsDelta = false;
+};
+
 struct BundleResponse {
     BundleKind kind = BundleKind::None;
     std::uint64_t version = 0;
@@ -61,7 +67,7 @@
 
 /// Callbacks for calls from peers. They run on the control thread and must not throw.
 struct PeerHandlers {
-    std::function<BundleResponse(std::uint64_t haveVersion, const std::string& haveDigest)> getBundle;
+    std::function<BundleResponse(const BundleQuery&)> getBundle;
     std::function<void(const PeerIdentity&, std::uint64_t version, const std::string& digest)> announce;
     std::function<void(const PeerIdentity&, const CrashReport&)> reportCrash;
     std::function<std::string(const PeerIdentity&, const std::string& content)> status;
--- a/src/libs/peers/peers.capnp
+++ b/src/libs/peers/peers.capnp
@@ -24,8 +24,9 @@
 }
 
 interface Peer {
-  # kind is none when the caller's bundle is not older. A delta applies to haveVersion.
-  getBundle @0 (haveVersion :UInt64, haveDigest :Data)
+  # kind is none when the caller's bundle is not older. A delta applies to haveVersion with haveDigest, and is sent only to
+  # callers that accept it.
+  getBundle @0 (haveVersion :UInt64, haveDigest :Data, acceptsDelta :Bool)
       -> (kind :BundleKind, version :UInt64, digest :Data, content :Data, signOffs :List(SignOff));
   announce @1 (version :UInt64, digest :Data) -> ();
   reportCrash @2 (service :Text, server :Text, fingerprint :Data, weight :Float64) -> ();
--- a/src/libs/peers/peers.capnp.h
+++ b/src/libs/peers/peers.capnp.h
@@ -180,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edfe1996d871c532, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(edfe1996d871c532, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -916,6 +916,8 @@
   inline bool hasHaveDigest() const;
   inline  ::capnp::Data::Reader getHaveDigest() const;
 
+  inline bool getAcceptsDelta() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -954,6 +956,9 @@
   inline void adoptHaveDigest(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownHaveDigest();
 
+  inline bool getAcceptsDelta();
+  inline void setAcceptsDelta(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2046,6 +2051,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::GetBundleParams::Reader::getAcceptsDelta() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::GetBundleParams::Builder::getAcceptsDelta() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Peer::GetBundleParams::Builder::setAcceptsDelta(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::clementinefall::peers::wire::BundleKind Peer::GetBundleResults::Reader::getKind() const {
   return _reader.getDataField< ::clementinefall::peers::wire::BundleKind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libs/peers/peerserver.cpp
+++ b/src/libs/peers/peerserver.cpp
@@ -46,8 +46,9 @@
     {
         this->session->lastCall = Clock::now();
         const auto parameters = context.getParams();
-        const BundleResponse response
-            = this->session->handlers->getBundle(parameters.getHaveVersion(), textOf(parameters.getHaveDigest()));
+        const BundleResponse response = this->session->handlers->getBundle({ .haveVersion = parameters.getHaveVersion(),
+            .haveDigest = textOf(parameters.getHaveDigest()),
+            .acceptsDelta = parameters.getAcceptsDelta() });
         auto results = context.getResults();
         results.setKind(static_cast<wire::BundleKind>(response.kind));
         results.setVersion(response.version);
--- a/src/libs/peers/tst_peerrpc.cpp
+++ b/src/libs/peers/tst_peerrpc.cpp
@@ -23,10 +23,11 @@
     {
         this->settings.address = { "127.0.0.1", 0 };
         this->settings.key.fill(3);
-        this->handlers.getBundle = [this](std::uint64_t version, const std::string&) {
+        this->handlers.getBundle = [this](const BundleQuery& query) {
+            this->lastQuery = query;
             BundleResponse response = this->stored;
-            if (version == response.version)
-                response = { BundleKind::None, version, response.digest, {}, {} };
+            if (query.haveVersion == response.version)
+                response = { BundleKind::None, query.haveVersion, response.digest, {}, {} };
             return response;
         };
         this->handlers.announce = [this](const PeerIdentity& peer, std::uint64_t version, const std::string&) {
@@ -84,6 +85,7 @@
     PeerServerSettings settings;
     PeerHandlers handlers;
     BundleResponse stored;
+    BundleQuery lastQuery;
     std::optional<std::pair<std::string, std::uint64_t>> announced;
     std::optional<CrashReport> crash;
     std::unique_ptr<PeerServer> server;
@@ -101,14 +103,17 @@
     SECTION("all calls share one connection and transfer their data unchanged")
     {
         const auto bundle = fixture.callAndWait<BundleResponse>([&](PeerCallback<BundleResponse> done) {
-            client.getBundle(fixture.address, 8, "d", deadline, std::move(done));
+            client.getBundle(fixture.address, { 8, "d", true }, deadline, std::move(done));
         });
         REQUIRE(isOk(bundle));
         CHECK(valueOf(bundle) == fixture.stored);
+        CHECK((fixture.lastQuery.haveVersion == 8 && fixture.lastQuery.haveDigest == "d"
+            && fixture.lastQuery.acceptsDelta));
         const auto same = fixture.callAndWait<BundleResponse>([&](PeerCallback<BundleResponse> done) {
-            client.getBundle(fixture.address, 9, "d", deadline, std::move(done));
+            client.getBundle(fixture.address, { 9, "d", false }, deadline, std::move(done));
         });
         CHECK(valueOf(same).kind == BundleKind::None);
+        CHECK_FALSE(fixture.lastQuery.acceptsDelta);
         CHECK(isOk(fixture.callAndWait<std::monostate>([&](PeerCallback<std::monostate> done) {
             client.announce(fixture.address, 12, "e", deadline, std::move(done));
         })));
--- a/src/tools/capacity/main.cpp
+++ b/src/tools/capacity/main.cpp
@@ -72,10 +72,9 @@
     // Two bundles and snapshots: the previous ones are freed only when the last reader releases them.
     const double memoryBytes = 2 * (bundle("bundle_heap_bytes") + bundle("snapshot_heap_bytes"))
         + member("member_table_bytes") + figureAt(figures, "blocks_heap_bytes", designBlocks);
-    // An instance serves one fetch per change on average. FleetLink responds with the full bundle, as it does not
-    // support deltas.
+    // An instance serves one fetch per change on average.
     const double bytesPerSecond = member("membership_bytes_per_s")
-        + (member("spread_calls_per_change") * bytesPerCall + bundle("bundle_text_bytes")) / secondsPerChange;
+        + (member("spread_calls_per_change") * bytesPerCall + bundle("bundle_delta_bytes")) / secondsPerChange;
     return { { "core_part", coreShare, coreShareBudget }, { "memory_bytes", memoryBytes, memoryBytesBudget },
         { "control_bytes_per_s", bytesPerSecond, controlBytesPerSecondBudget },
         { "bundle_in_force_s", member("spread_to_all_s"), disseminationSecondsBudget },
--- a/src/tools/capacity/measurements.cpp
+++ b/src/tools/capacity/measurements.cpp
@@ -3,7 +3,9 @@
 #include "bundle/adoption.h"
 #include "bundle/bundlecodec.h"
 #include "bundle/bundlediff.h"
+#include "bundle/rolloutrecords.h"
 #include "bundle/testbundles.h"
+#include "bundle/textdelta.h"
 #include "peers/simulateddissemination.h"
 #include "platform/platformprotocol.h"
 #include "steering/locality.h"
@@ -188,13 +190,20 @@
     bundle::Bundle changed = *held;
     changed.version = 2;
     changed.drains.push_back({ bundle::DrainKind::BackendServer, "server-0" });
+    bundle::SignOffRecord signOffs;
+    signOffs.version = changed.version;
+    signOffs.digest = bundle::bundleDigest(changed);
+    signOffs.signOffs = { operators.sign("ana", changed), operators.sign("eva", changed) };
+    const double deltaBytes = static_cast<double>(bundle::encodeTextDelta(text, bundle::serializeBundle(changed)).size()
+        + bundle::serializeSignOffs(signOffs).size());
     double changeBytes = 0;
     for (const bundle::Change& change : bundle::diffBundles(*held, changed))
         changeBytes += static_cast<double>(change.text().size());
     return { { "bundle_text_bytes", servers, static_cast<double>(text.size()) },
-        { "bundle_change_bytes", servers, changeBytes }, { "bundle_heap_bytes", servers, bundleHeap },
-        { "snapshot_heap_bytes", servers, snapshotHeap }, { "bundle_parse_us", servers, parseMicroseconds },
-        { "bundle_adopt_us", servers, adoptMicroseconds }, { "snapshot_build_us", servers, buildMicroseconds } };
+        { "bundle_change_bytes", servers, changeBytes }, { "bundle_delta_bytes", servers, deltaBytes },
+        { "bundle_heap_bytes", servers, bundleHeap }, { "snapshot_heap_bytes", servers, snapshotHeap },
+        { "bundle_parse_us", servers, parseMicroseconds }, { "bundle_adopt_us", servers, adoptMicroseconds },
+        { "snapshot_build_us", servers, buildMicroseconds } };
 }
 
 std::vector<Figure> measureLookup(std::size_t members)
--- a/src/tools/capacity/measurements.h
+++ b/src/tools/capacity/measurements.h
@@ -16,7 +16,8 @@
 
 /// `bundle_*` and `snapshot_*`: text size, processor time to parse, adopt (one Ed25519 signature) and index a bundle at
 /// the design scale with \a servers backend servers, and heap size of the results. `bundle_change_bytes` is the text
-/// size of the differences when one server is drained.
+/// size of the differences when one server is drained, and `bundle_delta_bytes` that of the delta and its two
+/// sign-offs.
 std::vector<Figure> measureBundle(std::size_t servers);
 
 /// `lookup_*`: processor time of one ranked lookup in a fleet of \a members instances.
