Reject requests that the limits of many servers leave no room for

Cause: each denial of a permit led to the next server, a round trip each, and the time that a request may wait was checked only once no server was left. Class: a loop over the fleet whose steps wait, with a bound on each step and none on the whole. Ruled out: lost messages and silent coordinators (tst_ratelimitfleet shows it without either). Change: after four denials a request joins the queue, which knows how long it may wait, or is rejected at once. Measured: tst_ratelimitfleet "A request that many limited servers deny", 30 servers and 100 ms a round trip: 30 requests for permits and 2985 ms before (deadline 3 s), at most 12 and under 1500 ms now.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -61,6 +61,10 @@
 /// Maximum time for a coordinator's reply beyond the round trip to the server, which is in the same zone.
 constexpr milliseconds permitReplyAllowance { 150 };
 
+/// After this many denials, a request waits before it asks for further permits, or is rejected. In a shortage, asking
+/// the coordinators of all servers one after the other would take most of its time.
+constexpr unsigned maximumPermitDenials = 4;
+
 /// A permit stays valid until the limit has fallen below this fraction of what it was.
 constexpr double validLimitFraction = 0.9;
 
@@ -152,6 +156,7 @@
     const Route* route = nullptr;
     std::string service;
     std::shared_ptr<RouteState> state; ///< Outlives a change of the configuration.
+    unsigned permitDenials = 0; ///< Since the request waited last.
     double permittedRate = 0; ///< Rate limit for which the permit was granted.
     TimePoint permitUntil {}; ///< When the permit for the current attempt lapses, at a server with a rate limit.
     TimePoint deadline {}; ///< The earlier of the caller's and the route's, minus the response margin.
@@ -502,8 +507,18 @@
             break;
         }
         const ServerPointer server = job.servers[*placement.server];
-        if (server->rateLimit.perSecond && !co_await this->obtainPermit(job, server, placement.estimate))
-            continue;
+        if (server->rateLimit.perSecond && !co_await this->obtainPermit(job, server, placement.estimate)) {
+            if (++job.permitDenials < maximumPermitDenials)
+                continue;
+            job.permitDenials = 0;
+            job.retryAfter = retryAfterOverload(job.state->processingTime);
+            if (job.attemptsSent == 0 && !this->rejectsWaiting && co_await this->waitForCapacity(job))
+                continue;
+            if (!job.mayHaveRun)
+                last = makeError(
+                    ResultCode::NotRunNoCapacity, "the rate limits of service {} leave no room in time", job.service);
+            break;
+        }
         if (job.attemptsSent > 0 && !this->budgetOf(job.service).takeExtraAttempt(Clock::now())) {
             if (!job.mayHaveRun)
                 last = makeError(
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -263,6 +263,11 @@
     return home;
 }
 
+Duration retryAfterOverload(const ProcessingTimeEstimate& processingTime)
+{
+    return std::clamp<Duration>(processingTime.cached, minimumRetryAfter, maximumRetryAfter);
+}
+
 Placement choosePlacement(std::span<const BackendServer* const> servers, std::span<const char> mayUseCold,
     std::span<const std::size_t> excluded, const PlacementRequest& original, const PlacementParameters& parameters,
     TimePoint now)
@@ -288,7 +293,7 @@
         }
     }
     if (!best.server)
-        best.retryAfter = std::clamp<Duration>(request.processingTime.cached, minimumRetryAfter, maximumRetryAfter);
+        best.retryAfter = retryAfterOverload(request.processingTime);
     return best;
 }
 
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -128,6 +128,9 @@
 /// that was only assumed, or measured for other objects, must not keep a route from ever being served.
 bool wouldMissDeadline(const CompletionEstimate& estimate, const PlacementRequest& request);
 
+/// Retry-After for a request that no server can take: time until one is likely to have capacity.
+Duration retryAfterOverload(const ProcessingTimeEstimate& processingTime);
+
 /// Chooses the server with the least cost among those that can take the request and complete it before its deadline.
 /// Indexes in \a excluded are skipped.
 Placement choosePlacement(std::span<const BackendServer* const> servers, std::span<const char> mayUseCold,
--- a/src/libs/forwarding/tst_ratelimitfleet.cpp
+++ b/src/libs/forwarding/tst_ratelimitfleet.cpp
@@ -59,12 +59,44 @@
         return succeeded;
     }
 
+    /// Leaves only \a count servers, all of which have a limit without permits left.
+    void exhaustServers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < instanceCount; ++i) {
+            for (const char* id : { "limited", "unlimited" })
+                this->catalogs[i]->remove(id, Clock::now());
+            std::map<std::string, RateLimitState> limits;
+            for (std::size_t server = 0; server < count; ++server) {
+                const std::string id = "exhausted-" + std::to_string(server);
+                addServer(*this->catalogs[i], id, this->limited.port());
+                limits[id] = { 0.0, Clock::now() };
+            }
+            this->instances[i]->recordRateLimits(limits);
+        }
+    }
+
+    /// Lets the instance with \a index, which is not the coordinator, forward one request.
+    unsigned forwardOneAt(std::size_t index)
+    {
+        unsigned status = 0;
+        asio::co_spawn(
+            this->context,
+            [this, index, &status]() -> Awaitable<void> { status = co_await this->forwardOne(this->instances[index]); },
+            asio::detached);
+        while (status == 0)
+            this->context.run_one();
+        return status;
+    }
+
     asio::io_context context { 1 };
     ScriptedServer limited;
     ScriptedServer unlimited;
     std::string statedLimit = "2"; ///< Of the limited server; empty without a limit.
     bool losesMessages = false;
+    milliseconds messageDelay { 0 }; ///< Of a request for a permit and its reply together.
+    unsigned permitRequests = 0;
     std::vector<std::shared_ptr<Forwarder>> instances;
+    std::vector<std::shared_ptr<ServerCatalog>> catalogs;
 
 private:
     void addInstance(std::size_t index)
@@ -78,13 +110,7 @@
         instance->configure(configuration());
         for (const auto& [id, port] :
             { std::pair { "limited", this->limited.port() }, std::pair { "unlimited", this->unlimited.port() } }) {
-            ServerEntry entry;
-            entry.id = id;
-            entry.service = "stock";
-            entry.address = { "127.0.0.1", port };
-            entry.zone = "a";
-            entry.slots = 100;
-            catalog->apply(entry, Clock::now());
+            addServer(*catalog, id, port);
         }
         // The port stands for the number of the instance.
         instance->permitCoordinator = [index](const BackendServer&) -> std::optional<HostPort> {
@@ -92,9 +118,23 @@
         };
         const auto from = static_cast<std::uint16_t>(index);
         instance->permitClient().send = [this, from](const HostPort& to, const std::string& text) {
-            asio::post(this->context, [this, from, to, text] { this->deliver(from, to.port, text); });
+            ++this->permitRequests;
+            auto timer = std::make_shared<asio::steady_timer>(this->context, this->messageDelay);
+            timer->async_wait([this, timer, from, to, text](beast::error_code) { this->deliver(from, to.port, text); });
         };
         this->instances.push_back(std::move(instance));
+        this->catalogs.push_back(std::move(catalog));
+    }
+
+    static void addServer(ServerCatalog& catalog, const std::string& id, std::uint16_t port)
+    {
+        ServerEntry entry;
+        entry.id = id;
+        entry.service = "stock";
+        entry.address = { "127.0.0.1", port };
+        entry.zone = "a";
+        entry.slots = 100;
+        catalog.apply(entry, Clock::now());
     }
 
     static std::shared_ptr<Configuration> configuration()
@@ -192,6 +232,20 @@
     CHECK(Clock::now() - begin < seconds(4));
 }
 
+TEST_CASE("A request that many limited servers deny is rejected before its time has passed")
+{
+    Fleet fleet;
+    fleet.messageDelay = milliseconds(100);
+    fleet.exhaustServers(30);
+    const TimePoint begin = Clock::now();
+    // Asking all servers one after the other takes the three seconds until the deadline.
+    CHECK(fleet.forwardOneAt(5) == 503);
+    CHECK(Clock::now() - begin < milliseconds(1500));
+    CHECK(fleet.permitRequests > 0);
+    CHECK(fleet.permitRequests <= 12);
+    CHECK(fleet.limited.requests.empty());
+}
+
 TEST_CASE("A coordinator that became ready long after its start does not double a rate limit")
 {
     Fleet fleet;
