--- a/src/app/entry/bundletransfer.cpp
+++ b/src/app/entry/bundletransfer.cpp
@@ -47,11 +47,11 @@
         return known.version == query.haveVersion && known.digest == query.haveDigest;
     });
     if (query.acceptsDelta && base != history.bundles.end()) {
-        std::string delta = bundle::encodeTextDelta(base->text, newest.text);
+        const std::string delta = bundle::encodeTextDelta(base->text, newest.text);
         if (delta.size() < newest.text.size()) {
             response.kind = peers::BundleKind::Delta;
             content[baseKey] = base->version;
-            content[deltaKey] = std::move(delta);
+            content[deltaKey] = delta;
         }
     }
     if (response.kind == peers::BundleKind::Full)
