--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -84,6 +84,7 @@
     Duration unresponsiveTimeout {}; ///< Time without a response after which the server counts as unresponsive.
     RateLimitState rateLimit;
     unsigned sentWhileLimited = 0; ///< Requests of this instance since the last summary line.
+    unsigned sentWhileCold = 0; ///< The same, while the server was cold.
     PermitBucket permits; ///< Used while this instance coordinates the server's rate limit.
     TimePoint permitRetryAt {}; ///< No request for a permit before this time: the coordinator was not found.
     TimePoint permitAvailableAt {}; ///< Earliest use of the next permit under the rate limit, as last reported.
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -621,6 +621,8 @@
     const TimePoint sentAt = Clock::now();
     if (server->rateLimit.perSecond)
         ++server->sentWhileLimited;
+    if (isCold(*server, sentAt))
+        ++server->sentWhileCold;
     if (server->awaitingResponseSince == TimePoint {}) {
         server->awaitingResponseSince = sentAt;
         server->unresponsiveTimeout = unresponsiveAllowance + unresponsiveEstimateFactor * expected.completion;
@@ -985,10 +987,14 @@
         unsigned limitedServers = 0;
         double limitPerSecond = 0;
         unsigned sentWhileLimited = 0;
+        unsigned coldServers = 0;
+        unsigned sentWhileCold = 0;
         for (const ServerPointer& server : this->catalog->serversOf(name)) {
             limitedServers += server->rateLimit.perSecond ? 1 : 0;
             limitPerSecond += server->rateLimit.perSecond.value_or(0);
             sentWhileLimited += std::exchange(server->sentWhileLimited, 0);
+            coldServers += isCold(*server, now) ? 1 : 0;
+            sentWhileCold += std::exchange(server->sentWhileCold, 0);
             if (!isUsable(*server) || server->locality == Locality::OtherRegion)
                 continue;
             load += outstandingRequests(*server, now);
@@ -997,7 +1003,8 @@
         logInfo("service_summary",
             { { "service", name }, { "waiting", queue.size() }, { "region_load", load }, { "region_slots", slots },
                 { "limited_servers", limitedServers }, { "limit_per_second", fmt::format("{:.1f}", limitPerSecond) },
-                { "sent_while_limited", sentWhileLimited } });
+                { "sent_while_limited", sentWhileLimited }, { "cold_servers", coldServers },
+                { "sent_while_cold", sentWhileCold }, { "cold_sender_candidates", this->instancesOfRegion.size() } });
     }
 }
 
