Do not let late reports end the cold time that is assumed after an evacuation

What callers may see: servers that became cold at the end of an evacuation are flooded and crash (FAILBACK). Cause: an instance assumes servers to be cold for a time when an evacuation ends, or when a connect failed, as their reports are older than that. But the next report, whatever its age, set the end of the cold time anew. Such servers have nothing in flight and attract the requests of all instances. Class: a time that is shortened by an older copy of what gave it. Change: the assumed cold time is kept apart from the reported one, and ends by time alone. The remaining time of a report counts from its first arrival; a repeated one changes nothing. Evidence: tst_servercatalog "a report from before the end of an evacuation" and "counts once" fail on the code before (3 of 84 assertions), pass with the change.

--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -63,7 +63,9 @@
     std::string region;
     bool isRemoved = false; ///< From the store; referenced only by requests in flight.
     bool isEvacuated = false;
-    TimePoint coldUntil {};
+    TimePoint coldUntil {}; ///< According to the server's last report.
+    /// The same, assumed without a report, which the server may not have written yet.
+    TimePoint assumedColdUntil {};
     TimePoint missingSince {}; ///< Set while the entry is missing from a full listing after a store outage.
 
     unsigned inFlight = 0; ///< Requests of this instance.
@@ -94,7 +96,10 @@
 /// Whether the server is ready and neither removed nor evacuated.
 bool isUsable(const BackendServer& server);
 
-inline bool isCold(const BackendServer& server, TimePoint now) { return now < server.coldUntil; }
+inline bool isCold(const BackendServer& server, TimePoint now)
+{
+    return now < server.coldUntil || now < server.assumedColdUntil;
+}
 
 /// Estimated number of requests at the server: those of this instance, and those of the other ones by the server's last
 /// report, which gives way to the assumed load as it ages, or by the heartbeats of the instances of the same zone if
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -838,7 +838,7 @@
     // A server that restarts under its old id is cold before its entry in the store reports it.
     const auto service = this->currentConfiguration->services.find(server->entry.service);
     if (service != this->currentConfiguration->services.end())
-        server->coldUntil = std::max(server->coldUntil, now + service->second.coldTime);
+        server->assumedColdUntil = std::max(server->assumedColdUntil, now + service->second.coldTime);
     server->cachedObjects.clear();
     this->connections.closeIdle(server);
 }
--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -51,10 +51,13 @@
         return true;
     }
     const bool wasDraining = server->entry.state == ServerState::Draining;
+    const bool isRepeated = reportOf(entry) == reportOf(server->entry);
     server->entry = entry;
     if (wasDraining)
         server->entry.state = ServerState::Draining; // Draining cannot be undone within an incarnation.
-    server->coldUntil = now + entry.remainingColdTime;
+    // A restored store shows the same report once more; its remaining time counts from the first time.
+    if (!isRepeated)
+        server->coldUntil = now + entry.remainingColdTime;
     return true;
 }
 
@@ -142,7 +145,7 @@
     for (const auto& [id, server] : this->servers) {
         const bool evacuated = this->evacuatedZones.contains(server->entry.zone);
         if (server->isEvacuated && !evacuated)
-            server->coldUntil = std::max(server->coldUntil, now + postEvacuationColdTime);
+            server->assumedColdUntil = std::max(server->assumedColdUntil, now + postEvacuationColdTime);
         server->isEvacuated = evacuated;
     }
 }
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -27,8 +27,8 @@
     /// Time after an outage of the store within which the entries of running servers reappear.
     static constexpr seconds outageGracePeriod { 2 };
 
-    /// Time for which a server counts as cold after an evacuation unless it reports otherwise: it may have become cold
-    /// shortly before, and its last report can be older by a heartbeat interval and the store's delay.
+    /// Time for which a server counts as cold after an evacuation: it may have become cold shortly before. Its reports
+    /// do not shorten the time, as they may have been written earlier.
     static constexpr seconds postEvacuationColdTime { 3 };
 
     /// Time for which an old entry of a removed server is not accepted. A restored store has entries again that were
--- a/src/libs/forwarding/tst_servercatalog.cpp
+++ b/src/libs/forwarding/tst_servercatalog.cpp
@@ -113,6 +113,45 @@
         CHECK_FALSE(isCold(*server, start + seconds(12)));
     }
 
+    SECTION("a report from before the end of an evacuation does not end the cold time that is assumed after it")
+    {
+        catalog.setEvacuations({ "north-a" }, start);
+        catalog.setEvacuations({}, start + seconds(8));
+        const TimePoint received = start + milliseconds(8200);
+
+        SECTION("when it arrives late")
+        {
+            REQUIRE(catalog.apply(entryOf("s1", 10, 6), received));
+            CHECK(isCold(*server, received));
+        }
+        SECTION("when a restored store shows it again")
+        {
+            ServerEntry again = server->entry;
+            again.revision += 100;
+            catalog.replaceAll({ again }, true, received);
+            CHECK(isCold(*server, received));
+        }
+        SECTION("but one that states a longer time extends it")
+        {
+            ServerEntry cold = entryOf("s1", 10, 6);
+            cold.remainingColdTime = seconds(5);
+            REQUIRE(catalog.apply(cold, received));
+            CHECK(isCold(*server, received + milliseconds(4900)));
+            CHECK_FALSE(isCold(*server, received + milliseconds(5100)));
+        }
+    }
+
+    SECTION("the remaining cold time of a report counts once, although a restored store shows it again")
+    {
+        ServerEntry cold = entryOf("s1", 10, 6);
+        cold.remainingColdTime = seconds(3);
+        REQUIRE(catalog.apply(cold, start));
+        cold.revision += 100;
+        catalog.replaceAll({ cold }, true, start + seconds(2));
+        CHECK(isCold(*server, start + milliseconds(2900)));
+        CHECK_FALSE(isCold(*server, start + milliseconds(3100)));
+    }
+
     SECTION("an entry that comes back from a copy of the store does not bring back a server that left")
     {
         const ServerEntry last = server->entry;
