Choose the senders to cold servers alike in separated and in starting instances

What callers may see: cold servers are flooded and crash (FAILBACK) while instances cannot hear of each other, or in the first moments after many have restarted. Cause: the two senders of a server were chosen among the instances that are live in the view of each. Separated instances see themselves alone, so each was a sender at half of the rate: with n views the server got n times what it tolerates. An instance that was ready before its first list of instances took itself for alone, too. Class: a bound on a sum that each process keeps by its own view of the fleet. Change: candidates are the registered instances of the region, live or not, until they have been silent for 30 s; none while there is no list. All views of one registry choose the same two. A dead sender costs a cold server half of its few requests for the seconds in which it is cold. Evidence: tst_instancetable "Senders to a cold server while instances cannot hear of each other": eight instances, 8 senders where 2 are allowed before the change (6 of 12 assertions fail), 2 with it.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -205,6 +205,7 @@
     , settings(std::move(forwarderSettings))
     , catalog(std::move(serverCatalog))
     , tracker(systemSeededRandom()())
+    , coldSenderCandidates { this->settings.instance }
     , permits(std::make_shared<PermitClient>(this->executor))
     , random(systemSeededRandom())
 {
@@ -255,11 +256,11 @@
     return this->budgets.emplace(service, requests::RetryBudget(limits)).first->second;
 }
 
-void Forwarder::setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize,
+void Forwarder::setInstances(std::vector<std::string> senderCandidates, std::size_t zoneSize,
     std::map<std::string, std::size_t> liveCountByRegion)
 {
     this->zoneInstanceCount = std::max<std::size_t>(1, zoneSize);
-    this->instancesOfRegion = std::move(regionInstances);
+    this->coldSenderCandidates = std::move(senderCandidates);
     this->instancesByRegion = std::move(liveCountByRegion);
     std::size_t count = 0;
     for (const auto& [region, live] : this->instancesByRegion)
@@ -302,7 +303,7 @@
         return false;
     // The senders to a cold server are chosen from the instances of its own region.
     return server.locality != Locality::OtherRegion
-        && isColdServerSender(server.entry.id, this->settings.instance, this->instancesOfRegion)
+        && isColdServerSender(server.entry.id, this->settings.instance, this->coldSenderCandidates)
         && now - server.lastColdSend >= coldSendInterval(service->second.coldRequestsPerSecond);
 }
 
@@ -1004,7 +1005,8 @@
             { { "service", name }, { "waiting", queue.size() }, { "region_load", load }, { "region_slots", slots },
                 { "limited_servers", limitedServers }, { "limit_per_second", fmt::format("{:.1f}", limitPerSecond) },
                 { "sent_while_limited", sentWhileLimited }, { "cold_servers", coldServers },
-                { "sent_while_cold", sentWhileCold }, { "cold_sender_candidates", this->instancesOfRegion.size() } });
+                { "sent_while_cold", sentWhileCold },
+                { "cold_sender_candidates", this->coldSenderCandidates.size() } });
     }
 }
 
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -78,10 +78,10 @@
     /// Number of requests without an outcome yet.
     std::size_t activeRequests() const { return this->activeRequestContexts.size(); }
 
-    /// Sets the live entry instances: the names of those in the local region, from which the senders to cold servers
-    /// are chosen; the number in the local zone; and the number in each region. The retry allowance is divided by the
-    /// number in all regions.
-    void setInstances(std::vector<std::string> regionInstances, std::size_t zoneSize,
+    /// Sets the entry instances: the names of those from which the senders to cold servers are chosen, none while they
+    /// are not known; the number of live ones in the local zone; and that in each region. The retry allowance is
+    /// divided by the number in all regions.
+    void setInstances(std::vector<std::string> senderCandidates, std::size_t zoneSize,
         std::map<std::string, std::size_t> liveCountByRegion);
 
     /// Records the in-flight requests of an entry instance of the same zone at each backend server.
@@ -213,7 +213,7 @@
     std::vector<requests::CrashMark> newCrashMarks;
     TimePoint lastCrash {};
     std::string lastCrashServer;
-    std::vector<std::string> instancesOfRegion;
+    std::vector<std::string> coldSenderCandidates; ///< Names; only this instance before setInstances().
     std::map<std::string, std::size_t> instancesByRegion;
     std::size_t instanceCount = 1;
     std::size_t zoneInstanceCount = 1;
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -24,6 +24,7 @@
 
 void InstanceTable::setRegistered(const std::vector<InstanceInfo>& instances, TimePoint now)
 {
+    this->hasList = true;
     std::set<std::string> present;
     for (const InstanceInfo& instance : instances) {
         present.insert(instance.name);
@@ -34,6 +35,7 @@
 
 void InstanceTable::setRegisteredAfterRestore(const std::vector<InstanceInfo>& instances, TimePoint now)
 {
+    this->hasList = true;
     std::set<std::string> present;
     for (const InstanceInfo& instance : instances) {
         present.insert(instance.name);
@@ -75,11 +77,13 @@
     return found == this->registered.end() ? std::string() : found->second.info.region;
 }
 
-std::vector<std::string> InstanceTable::liveInRegion(TimePoint now) const
+std::vector<std::string> InstanceTable::coldSenderCandidates(TimePoint now) const
 {
+    if (!this->hasList)
+        return {};
     std::vector<std::string> result { this->localInfo.name };
     for (const auto& [name, entry] : this->registered) {
-        if (entry.info.region == this->localInfo.region && this->isLive(entry, now))
+        if (entry.info.region == this->localInfo.region && now - entry.lastHeartbeat < senderRetention)
             result.push_back(name);
     }
     return result;
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -27,6 +27,10 @@
     /// Time without a heartbeat after which an instance counts as dead; allows for several lost heartbeats.
     static constexpr milliseconds livenessTimeout { 3000 };
 
+    /// Time without a heartbeat after which an instance is no longer a candidate for the senders to cold servers.
+    /// Longer than most network partitions. A sender that is dead costs a cold server half of its few requests.
+    static constexpr seconds senderRetention { 30 };
+
     explicit InstanceTable(InstanceInfo instanceInfo)
         : localInfo(std::move(instanceInfo))
     {
@@ -54,8 +58,11 @@
 
     /// The other instances of the local zone that are live and not stopping.
     std::vector<InstanceInfo> liveInZone(TimePoint now) const;
-    /// Names of the live instances of the local region, including this one.
-    std::vector<std::string> liveInRegion(TimePoint now) const;
+    /// Names of the instances of the local region from which the senders to cold servers are chosen, including this
+    /// one. Those without a heartbeat stay for `senderRetention`: instances that cannot hear of each other must choose
+    /// the same senders, otherwise their number grows with that of the groups. Empty before the first list of
+    /// instances.
+    std::vector<std::string> coldSenderCandidates(TimePoint now) const;
     std::size_t liveCountInZone(TimePoint now) const;
     std::size_t liveCount(TimePoint now) const;
     std::map<std::string, std::size_t> liveCountByRegion(TimePoint now) const;
@@ -89,6 +96,7 @@
 
     InstanceInfo localInfo;
     std::map<std::string, RegisteredInstance> registered; ///< By name, without this instance.
+    bool hasList = false; ///< Set by the first list of instances.
 };
 
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -301,12 +301,15 @@
 {
     const std::uint64_t seed = hash64(serverId);
     const std::uint64_t selfHash = hash64(self, seed);
+    bool isCandidate = false;
     std::size_t preceding = 0;
-    for (const std::string& other : candidates) {
-        if (other != self && hash64(other, seed) > selfHash)
+    for (const std::string& candidate : candidates) {
+        if (candidate == self)
+            isCandidate = true;
+        else if (hash64(candidate, seed) > selfHash)
             ++preceding;
     }
-    return preceding < sendersPerColdServer;
+    return isCandidate && preceding < sendersPerColdServer;
 }
 
 Duration coldSendInterval(double requestsPerSecond)
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -141,7 +141,8 @@
 /// every instance computes the same set of senders from the same list.
 inline constexpr std::size_t sendersPerColdServer = 2;
 
-/// Whether \a self is among the first `sendersPerColdServer` of \a candidates for \a serverId by rendezvous hashing.
+/// Whether \a self is among the first `sendersPerColdServer` of \a candidates for \a serverId by rendezvous hashing;
+/// false when it is no candidate.
 bool isColdServerSender(std::string_view serverId, std::string_view self, std::span<const std::string> candidates);
 
 /// Minimum time between two requests of one sender to a cold server that tolerates \a requestsPerSecond in total.
--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/heartbeatexchange.h"
 #include "forwarding/instancetable.h"
+#include "forwarding/placement.h"
 
 #include <catch2/catch.hpp>
 
@@ -180,3 +181,50 @@
         }
     }
 }
+
+TEST_CASE("Senders to a cold server while instances cannot hear of each other")
+{
+    std::vector<InstanceInfo> fleet;
+    for (std::uint16_t i = 0; i < 8; ++i)
+        fleet.push_back(instanceOf("entry-" + std::to_string(i), i % 2 == 0 ? "a" : "b", "north", 100 + 10 * i));
+    std::vector<InstanceTable> tables;
+    for (const InstanceInfo& info : fleet)
+        tables.emplace_back(info);
+    const auto sendersOf = [&](const std::string& server, TimePoint at) {
+        std::size_t senders = 0;
+        for (const InstanceTable& table : tables)
+            senders += isColdServerSender(server, table.localInstance().name, table.coldSenderCandidates(at)) ? 1 : 0;
+        return senders;
+    };
+
+    SECTION("instances that have no list of the others yet do not flood it") { CHECK(sendersOf("s1", start) == 0); }
+
+    SECTION("instances that a network partition separates do not flood it")
+    {
+        for (InstanceTable& table : tables)
+            table.setRegistered(fleet, start);
+        const TimePoint separated = start + InstanceTable::livenessTimeout + seconds(5);
+        for (const std::string server : { "s1", "s2", "s3", "s4" }) {
+            CHECK(sendersOf(server, start) == sendersPerColdServer);
+            CHECK(sendersOf(server, separated) == sendersPerColdServer);
+        }
+
+        SECTION("also when half of them restart meanwhile, and the store has the others registered")
+        {
+            for (std::size_t i = 0; i < tables.size(); i += 2) {
+                fleet[i].incarnation += 1;
+                tables[i] = InstanceTable(fleet[i]);
+            }
+            for (InstanceTable& table : tables)
+                table.setRegistered(fleet, separated);
+            CHECK(sendersOf("s1", separated + seconds(10)) == sendersPerColdServer);
+        }
+    }
+
+    SECTION("an instance that is gone for good makes room for another sender")
+    {
+        tables.front().setRegistered(fleet, start);
+        CHECK(tables.front().coldSenderCandidates(start).size() == fleet.size());
+        CHECK(tables.front().coldSenderCandidates(start + InstanceTable::senderRetention).size() == 1);
+    }
+}
