Assume servers to be cold after an evacuation for the cold time of their service

What callers may see: servers that take longer than 3 s to warm up are flooded after an evacuation of their zone (FAILBACK). Cause: a constant of 3 s stood for the cold time that the configuration states for each service. Change: the catalog gets the cold times with each configuration; the constant remains for servers of unknown services.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -228,6 +228,10 @@
         kept[route.name] = old->second;
     }
     this->routeStates = std::move(kept);
+    std::map<std::string, Duration> coldTimes;
+    for (const auto& [name, service] : this->currentConfiguration->services)
+        coldTimes[name] = service.coldTime;
+    this->catalog->setColdTimes(std::move(coldTimes));
     return true;
 }
 
--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -145,11 +145,18 @@
     for (const auto& [id, server] : this->servers) {
         const bool evacuated = this->evacuatedZones.contains(server->entry.zone);
         if (server->isEvacuated && !evacuated)
-            server->assumedColdUntil = std::max(server->assumedColdUntil, now + postEvacuationColdTime);
+            server->assumedColdUntil
+                = std::max(server->assumedColdUntil, now + this->coldTimeOf(server->entry.service));
         server->isEvacuated = evacuated;
     }
 }
 
+Duration ServerCatalog::coldTimeOf(const std::string& service) const
+{
+    const auto found = this->coldTimeByService.find(service);
+    return found == this->coldTimeByService.end() ? defaultColdTime : found->second;
+}
+
 const std::vector<ServerPointer>& ServerCatalog::serversOf(const std::string& service) const
 {
     static const std::vector<ServerPointer> none;
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -27,9 +27,8 @@
     /// Time after an outage of the store within which the entries of running servers reappear.
     static constexpr seconds outageGracePeriod { 2 };
 
-    /// Time for which a server counts as cold after an evacuation: it may have become cold shortly before. Its reports
-    /// do not shorten the time, as they may have been written earlier.
-    static constexpr seconds postEvacuationColdTime { 3 };
+    /// Cold time of a service that the configuration does not define.
+    static constexpr seconds defaultColdTime { 3 };
 
     /// Time for which an old entry of a removed server is not accepted. A restored store has entries again that were
     /// removed after its copy was made, and a list may be from before the removal.
@@ -57,7 +56,12 @@
     /// Forgets the removed servers whose entries can no longer come back.
     void forgetRemoved(TimePoint now);
 
-    /// Sets the availability zones whose servers get no requests.
+    /// Sets the cold times of the services, from the configuration.
+    void setColdTimes(std::map<std::string, Duration> coldTimes) { this->coldTimeByService = std::move(coldTimes); }
+
+    /// Sets the availability zones whose servers get no requests. When a zone is no longer evacuated, its servers count
+    /// as cold for the cold time of their service, as they may have become cold shortly before. Their reports do not
+    /// shorten the time: they may have been written earlier.
     void setEvacuations(std::set<std::string> zones, TimePoint now);
 
     const std::set<std::string>& evacuations() const { return this->evacuatedZones; }
@@ -79,11 +83,13 @@
     };
     void insert(const ServerEntry& entry, TimePoint now);
     void detach(const ServerPointer& server);
+    Duration coldTimeOf(const std::string& service) const;
 
     InstanceLocation location;
     std::map<std::string, ServerPointer> servers;
     std::map<std::string, std::vector<ServerPointer>> byService;
     std::set<std::string> evacuatedZones;
+    std::map<std::string, Duration> coldTimeByService;
     std::map<std::string, RemovedServer> removedServers; ///< By id.
 };
 
--- a/src/libs/forwarding/tst_servercatalog.cpp
+++ b/src/libs/forwarding/tst_servercatalog.cpp
@@ -113,6 +113,15 @@
         CHECK_FALSE(isCold(*server, start + seconds(12)));
     }
 
+    SECTION("servers that warm up slowly are not flooded before their cold time after an evacuation has passed")
+    {
+        catalog.setColdTimes({ { "stock", seconds(8) } });
+        catalog.setEvacuations({ "north-a" }, start);
+        catalog.setEvacuations({}, start + seconds(1));
+        CHECK(isCold(*server, start + milliseconds(8900)));
+        CHECK_FALSE(isCold(*server, start + milliseconds(9100)));
+    }
+
     SECTION("a report from before the end of an evacuation does not end the cold time that is assumed after it")
     {
         catalog.setEvacuations({ "north-a" }, start);
