--- a/src/libs/forwarding/callerserver.cpp
+++ b/src/libs/forwarding/callerserver.cpp
@@ -17,10 +17,11 @@
 } // namespace
 
 CallerServer::CallerServer(asio::any_io_executor serverExecutor, std::shared_ptr<SessionContext> sessionContext,
-    std::size_t maximumConnections)
+    std::size_t maximumConnections, RequestSource requestSource)
     : executor(std::move(serverExecutor))
     , context(std::move(sessionContext))
     , connectionLimit(maximumConnections)
+    , source(requestSource)
     , acceptor(this->executor)
 {
 }
@@ -72,7 +73,7 @@
 
 void CallerServer::startSession(asio::ip::tcp::socket socket)
 {
-    auto session = std::make_shared<CallerSession>(std::move(socket), this->context);
+    auto session = std::make_shared<CallerSession>(std::move(socket), this->context, this->source);
     this->sessions.push_back(session);
     asio::co_spawn(
         this->executor, [session]() -> Awaitable<void> { return session->run(); }, asio::detached);
--- a/src/libs/forwarding/callerserver.h
+++ b/src/libs/forwarding/callerserver.h
@@ -8,11 +8,11 @@
 
 namespace clementinefall::forwarding {
 
-/// Accepts callers' connections on one address and runs a session for each.
+/// Accepts connections of callers, or of other entry instances, on one address and runs a session for each.
 class CallerServer : public std::enable_shared_from_this<CallerServer> {
 public:
     CallerServer(asio::any_io_executor serverExecutor, std::shared_ptr<SessionContext> sessionContext,
-        std::size_t maximumConnections);
+        std::size_t maximumConnections, RequestSource requestSource = RequestSource::Caller);
 
     /// Binds to \a address and starts accepting connections. Error: SettingsBadAddress.
     Status listen(const HostPort& address);
@@ -32,6 +32,7 @@
     asio::any_io_executor executor;
     std::shared_ptr<SessionContext> context;
     std::size_t connectionLimit;
+    RequestSource source;
     asio::ip::tcp::acceptor acceptor;
     std::vector<std::weak_ptr<CallerSession>> sessions;
 };
--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/callersession.h"
 
 #include "base/log.h"
+#include "forwarding/peerforwarding.h"
 #include "http/syntaxerror.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -75,7 +76,7 @@
         if (!co_await this->session->awaitTurn(this->queued))
             co_return false;
         this->isChunked = !length;
-        const std::string text = encodeResponseHead(head, length);
+        const std::string text = this->session->encodeHead(head, length);
         co_return co_await this->writeAll(text);
     }
 
@@ -109,12 +110,14 @@
     bool isChunked = false;
 };
 
-CallerSession::CallerSession(tcp::socket callerSocket, std::shared_ptr<SessionContext> sessionContext)
+CallerSession::CallerSession(
+    tcp::socket callerSocket, std::shared_ptr<SessionContext> sessionContext, RequestSource requestSource)
     : socket(std::move(callerSocket))
     , watchdog(this->socket.get_executor())
     , writeWatchdog(this->socket.get_executor())
     , queueSignal(this->socket.get_executor())
     , context(std::move(sessionContext))
+    , source(requestSource)
 {
 }
 
@@ -240,7 +243,12 @@
         this->close();
         co_return false;
     }
-    const Result<ForwardedRequest> decoded = decodeRequest(parser.get().base(), this->context->names, Clock::now());
+    Result<ForwardedRequest> decoded = decodeRequest(parser.get().base(), this->context->names, Clock::now());
+    if (isOk(decoded) && this->source == RequestSource::EntryInstance) {
+        const Status status = decodePeerRequest(valueOf(decoded));
+        if (!isOk(status))
+            decoded = errorOf(status);
+    }
     if (!isOk(decoded)) {
         co_await this->reject(errorOf(decoded), nullptr);
         this->close();
@@ -392,9 +400,15 @@
     this->queueSignal.cancel();
 }
 
+std::string CallerSession::encodeHead(const CallerResponse& response, std::optional<std::size_t> bodyBytes) const
+{
+    return this->source == RequestSource::EntryInstance ? encodePeerResponseHead(response, bodyBytes)
+                                                        : encodeResponseHead(response, bodyBytes);
+}
+
 Awaitable<bool> CallerSession::send(const CallerResponse& response, bool isHead)
 {
-    const std::string head = encodeResponseHead(response, response.body.size());
+    const std::string head = this->encodeHead(response, response.body.size());
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::const_buffer {} };
     if (!isHead && response.status != 204 && response.status != 304)
         buffers[1] = asio::buffer(response.body);
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -48,11 +48,18 @@
     std::size_t inProgress = 0; ///< Requests that were received and have no response yet.
 };
 
+/// Who sends the requests of a connection.
+enum class RequestSource : std::uint8_t {
+    Caller,
+    EntryInstance, ///< Another entry instance; see peerforwarding.h.
+};
+
 /// One connection of a caller, with pipelining. Idempotent requests run concurrently, others only once they are first
 /// in the queue. Responses are sent in the order of the requests.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
-    CallerSession(asio::ip::tcp::socket callerSocket, std::shared_ptr<SessionContext> sessionContext);
+    CallerSession(asio::ip::tcp::socket callerSocket, std::shared_ptr<SessionContext> sessionContext,
+        RequestSource requestSource);
 
     /// Receives requests until the connection is closed.
     Awaitable<void> run();
@@ -78,6 +85,8 @@
     /// Waits until the request is first in the queue. Returns false when the connection was closed.
     Awaitable<bool> awaitTurn(std::shared_ptr<QueuedRequest> queued);
     Awaitable<bool> send(const CallerResponse& response, bool isHead);
+    /// Encodes the header of a response, for another entry instance with its outcome.
+    std::string encodeHead(const CallerResponse& response, std::optional<std::size_t> bodyBytes) const;
     /// Responds to a request that is malformed or was not received completely. receive() then closes the connection.
     /// \a request is null when the header could not be decoded. \a error must outlive the coroutine.
     Awaitable<void> reject(const Error& error, std::shared_ptr<const ForwardedRequest> request);
@@ -95,6 +104,7 @@
     asio::steady_timer writeWatchdog;
     asio::steady_timer queueSignal; ///< Cancelled when a request leaves the queue or the connection is closed.
     std::shared_ptr<SessionContext> context;
+    RequestSource source;
     beast::flat_buffer buffer;
     /// Requests in the order of arrival. Only the response to the first one may be sent.
     std::deque<std::shared_ptr<QueuedRequest>> queue;
--- a/src/libs/forwarding/forwardedrequest.cpp
+++ b/src/libs/forwarding/forwardedrequest.cpp
@@ -141,7 +141,8 @@
         appendField(head, name, value);
     const auto timeLeftMs = std::chrono::duration_cast<milliseconds>(timeLeft).count();
     appendField(head, names.timeLeft, std::to_string(std::max<std::int64_t>(1, timeLeftMs)));
-    appendField(head, names.expectedServer, expectedServer);
+    if (!expectedServer.empty())
+        appendField(head, names.expectedServer, expectedServer);
     if (request.hasBody || !request.body.empty())
         appendField(head, "Content-Length", std::to_string(request.body.size()));
     head += "\r\n";
--- a/src/libs/forwarding/forwardedrequest.h
+++ b/src/libs/forwarding/forwardedrequest.h
@@ -25,6 +25,8 @@
     std::string affinityKey; ///< Empty without affinity.
     TimePoint receivedAt {};
     std::optional<Duration> timeLeft; ///< Time until the deadline, if sent by the caller.
+    /// Set when another entry instance passed the request on: the number of servers to which it may be sent.
+    std::optional<unsigned> serversAllowedByPeer;
 };
 
 /// Whether the header field applies to a single connection and must not be forwarded, RFC 9110 section 7.6.1.
@@ -37,7 +39,8 @@
 /// Value of the cookie \a name in the Cookie field \a cookies; empty when it is missing.
 std::string_view cookieValue(std::string_view cookies, std::string_view name);
 
-/// Encodes the header of the request for a backend server, with \a expectedServer as the incarnation that may run it.
+/// Encodes the header of the request for a backend server, with \a expectedServer as the incarnation that may run it,
+/// if it is not empty.
 std::string encodeRequestHead(
     const ForwardedRequest& request, const WireNames& names, std::string_view expectedServer, Duration timeLeft);
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-/// Connect timeout: this base plus a number of round trips. Well under a second, to leave time for another server.
-constexpr milliseconds connectTimeoutBase { 250 };
-constexpr unsigned connectRoundTrips = 3;
-
 /// Failed connects after which a request is rejected. Nothing was sent to those servers.
 constexpr unsigned maximumConnectFailures = 3;
 
@@ -165,10 +161,12 @@
     std::uint64_t spillObject = 0; ///< As `object`, but random for requests without affinity.
     std::string spillRegion; ///< The other region that runs the object; empty for the local one.
     requests::Fingerprint fingerprint;
-    unsigned attemptsSent = 0; ///< Servers to which the request was sent.
+    unsigned maximumServers = 1; ///< To which the request may be sent, including those that another instance tries.
+    unsigned attemptsSent = 0; ///< Servers to which the request was sent, or may have been sent by another instance.
     unsigned connectFailures = 0;
     bool mayHaveRun = false; ///< At least one attempt has an unknown outcome.
     std::vector<ServerPointer> tried;
+    std::vector<std::string> triedPeers; ///< Names of the entry instances to which the request was passed.
     std::vector<ServerPointer> servers; ///< Candidates of the last placement; its result is a position in this list.
     /// Retry-After from the last placement that found no server. The default is about one processing time.
     Duration retryAfter = milliseconds(250);
@@ -204,11 +202,13 @@
     : executor(std::move(forwarderExecutor))
     , settings(std::move(forwarderSettings))
     , catalog(std::move(serverCatalog))
+    , reachability(std::make_shared<ReachabilityMonitor>(this->executor, this->catalog))
     , tracker(systemSeededRandom()())
     , coldSenderCandidates { this->settings.instance }
     , permits(std::make_shared<PermitClient>(this->executor))
     , random(systemSeededRandom())
 {
+    this->reachability->onChanged = [this] { this->onReachabilityChange(); };
     this->catalog->onRemoved = [this](const ServerPointer& server) { this->connections.closeIdle(server); };
 }
 
@@ -463,6 +463,8 @@
         job.deadline = std::min<TimePoint>(job.deadline, start + *job.request->timeLeft);
     job.deadline -= responseMargin;
     job.target = start + job.route->targetLatency;
+    job.maximumServers
+        = std::min(job.route->maximumServers, job.request->serversAllowedByPeer.value_or(job.route->maximumServers));
     if (job.route->hasAffinity && !job.request->affinityKey.empty())
         job.object = hash64(job.request->affinityKey, hash64(job.route->name)) | 1U;
     job.spillObject = job.object != 0 ? job.object : this->random();
@@ -497,6 +499,41 @@
             co_await this->waitWhileHeld(context);
             continue;
         }
+        if (this->shouldPassToPeer(job)) {
+            if (job.attemptsSent > 0 && !this->budgetOf(job.service).takeExtraAttempt(now)) {
+                last = makeError(
+                    ResultCode::NotRunRetryBudget, "the retry budget of service {} is exhausted", job.service);
+                break;
+            }
+            const std::optional<ServerResponse> response = co_await this->attemptThroughPeer(job);
+            if (!response)
+                continue;
+            if (context->isCancelled)
+                break;
+            if (response->wasStreamed) {
+                co_return this->finish(job,
+                    Outcome { .response = response->message,
+                        .wasStreamed = true,
+                        .isTruncated = response->end != AttemptEnd::Answered });
+            }
+            if (response->end == AttemptEnd::Answered)
+                co_return this->finish(job, Outcome { .response = response->message });
+            if (!requests::isProvenNotRun(response->end))
+                job.mayHaveRun = true;
+            last = makeError(requests::codeOfAttempt(response->end), "entry instance {}: {}", job.triedPeers.back(),
+                response->detail);
+            const bool mayRetry = this->shouldPassToPeer(job) && this->shouldRetry(job, *response, Clock::now());
+            if (mayRetry || context->isAborted)
+                continue;
+            // The other instance knows best when to come back. But only this one knows earlier attempts, and whether
+            // the request is proper.
+            const bool isOwnResponse
+                = response->end == AttemptEnd::RejectedByPeer || response->end == AttemptEnd::NotDecided;
+            const bool mustBeUnknown = job.mayHaveRun && response->end == AttemptEnd::RejectedByPeer;
+            if (isOwnResponse && !mustBeUnknown && response->message.status >= 500)
+                co_return this->finish(job, Outcome { .response = response->message });
+            break;
+        }
         const Placement placement = this->placeRequest(job, now);
         if (!placement.server) {
             job.retryAfter = placement.retryAfter;
@@ -534,7 +571,9 @@
         if (!response) {
             last = makeError(
                 ResultCode::NotRunConnectRefused, "no usable connection to backend server {}", server->entry.id);
-            if (++job.connectFailures >= maximumConnectFailures)
+            ++job.connectFailures;
+            const bool isHopeless = this->isStranded() || job.connectFailures >= maximumConnectFailures;
+            if (isHopeless && !this->shouldPassToPeer(job))
                 break;
             continue;
         }
@@ -575,7 +614,7 @@
 
 bool Forwarder::shouldRetry(const Job& job, const ServerResponse& response, TimePoint now)
 {
-    if (job.attemptsSent >= job.route->maximumServers || response.wasStreamed)
+    if (job.attemptsSent >= job.maximumServers || response.wasStreamed)
         return false;
     const bool notRun = requests::isProvenNotRun(response.end);
     if (!notRun && !job.route->isIdempotent())
@@ -597,10 +636,9 @@
     if (!connection) {
         connection = std::make_shared<ServerConnection>(this->executor, server);
         context->onCancel = [connection] { connection->close(); };
-        const Duration timeout = connectTimeoutBase + connectRoundTrips * server->connectTime;
         const Duration left = job.deadline - Clock::now();
         const TimePoint connectStart = Clock::now();
-        const bool connected = co_await connection->connect(std::min(timeout, left));
+        const bool connected = co_await connection->connect(std::min(connectTimeout(*server), left));
         job.connecting += Clock::now() - connectStart;
         context->onCancel = {};
         // The server may have become unusable or cold during the connect.
@@ -611,9 +649,12 @@
             --server->inFlight;
             if (!connected && !context->isCancelled && !context->isAborted)
                 this->onConnectFailure(server, Clock::now());
+            if (connected)
+                this->onServerConnected();
             job.attemptLog += fmt::format("{}:connect ", server->entry.id);
             co_return std::nullopt;
         }
+        this->onServerConnected();
     }
     ++job.attemptsSent;
     if (const auto spill = this->spills.find(job.service); spill != this->spills.end() && !job.spillRegion.empty())
@@ -637,13 +678,18 @@
     const std::uint64_t mark = this->tracker.recordSent(server->entry.id, { job.fingerprint, job.service });
     context->onCancel = [connection] { connection->close(); };
     std::string head = encodeRequestHead(*job.request, this->settings.names, server->entry.id, job.deadline - sentAt);
+    if (job.route->isIdempotent())
+        this->repeatableExchanges.insert(connection);
     ServerResponse response = co_await connection->exchange(
         job.request, std::move(head), this->settings.names, job.deadline, *context->sink);
+    this->repeatableExchanges.erase(connection);
     context->onCancel = {};
     job.exchanging += Clock::now() - sentAt;
     --server->inFlight;
-    if (response.isConnectionLost)
+    if (response.isConnectionLost) {
         this->onServerCrash(server, Clock::now());
+        this->reachability->recordFailure(server, Clock::now());
+    }
     this->tracker.recordEnded(server->entry.id, mark);
     this->recordAttemptResult(job, server, expected, response, loadAtSend, sentAt);
     this->connections.release(server, connection);
@@ -671,6 +717,8 @@
     }
     const bool hasResponded = response.end == AttemptEnd::Answered || response.end == AttemptEnd::ShedByServer
         || response.end == AttemptEnd::ResponseTruncated || response.end == AttemptEnd::ResponseInvalid;
+    if (hasResponded)
+        this->lastResponseAt = now;
     if (hasResponded || server->inFlight == 0)
         server->awaitingResponseSince = hasResponded && server->inFlight > 0 ? now : TimePoint {};
     if (response.end == AttemptEnd::TimedOut)
@@ -842,10 +890,124 @@
 {
     // A server that restarts under its old id is cold before its entry in the store reports it.
     const auto service = this->currentConfiguration->services.find(server->entry.service);
+    this->coldTimesBeforeFailure.emplace(server, server->assumedColdUntil);
     if (service != this->currentConfiguration->services.end())
         server->assumedColdUntil = std::max(server->assumedColdUntil, now + service->second.coldTime);
     server->cachedObjects.clear();
     this->connections.closeIdle(server);
+    this->reachability->recordFailure(server, now);
+}
+
+void Forwarder::onServerConnected()
+{
+    this->reachability->recordConnected();
+    this->coldTimesBeforeFailure.clear();
+}
+
+void Forwarder::onReachabilityChange()
+{
+    const TimePoint now = Clock::now();
+    if (this->isStranded()) {
+        // The failures were those of this instance's own links: no server is cold or in backoff because of them.
+        for (const auto& [server, assumedColdUntil] : this->coldTimesBeforeFailure)
+            server->assumedColdUntil = assumedColdUntil;
+        // Connections may live on while new ones fail. Without any response since the first failure, they do not.
+        const bool areConnectionsSilent = this->lastResponseAt < this->reachability->state().failingSince;
+        if (areConnectionsSilent) {
+            const auto exchanges = this->repeatableExchanges;
+            logInfo("silent_exchanges_closed", { { "exchanges", exchanges.size() } });
+            for (const auto& connection : exchanges)
+                connection->close();
+        }
+    } else {
+        for (const ServerPointer& server : this->catalog->allServers()) {
+            server->connectFailures = 0;
+            server->backoffUntil = std::min(server->backoffUntil, now);
+        }
+    }
+    this->coldTimesBeforeFailure.clear();
+    if (this->onReachabilityChanged)
+        this->onReachabilityChanged();
+}
+
+bool Forwarder::shouldPassToPeer(const Job& job) const
+{
+    // A request of another instance is not passed on again, so that requests cannot circulate.
+    if (!this->peers || job.request->serversAllowedByPeer || job.triedPeers.size() >= maximumPeers)
+        return false;
+    return this->isStranded() || job.connectFailures >= maximumConnectFailures;
+}
+
+ServerPointer Forwarder::peerEndpoint(const Peer& peer)
+{
+    ServerPointer& endpoint = this->peerEndpoints[peer.name];
+    if (!endpoint || !(endpoint->entry.address == peer.address)) {
+        if (endpoint)
+            this->connections.closeIdle(endpoint);
+        endpoint = std::make_shared<BackendServer>();
+        endpoint->entry.id = peer.name;
+        endpoint->entry.address = peer.address;
+    }
+    return endpoint;
+}
+
+Awaitable<std::shared_ptr<ServerConnection>> Forwarder::connectToPeer(Job& job, const ServerPointer& endpoint)
+{
+    const auto context = job.context;
+    const TimePoint start = Clock::now();
+    auto connection = this->connections.acquire(endpoint, start);
+    if (connection)
+        co_return connection;
+    connection = std::make_shared<ServerConnection>(this->executor, endpoint);
+    context->onCancel = [connection] { connection->close(); };
+    const Duration timeout = std::min<Duration>(connectTimeout(*endpoint), job.deadline - start);
+    const bool isConnected = co_await connection->connect(timeout);
+    context->onCancel = {};
+    job.connecting += Clock::now() - start;
+    co_return isConnected ? connection : nullptr;
+}
+
+Awaitable<std::optional<ServerResponse>> Forwarder::attemptThroughPeer(Job& job)
+{
+    const auto self = this->shared_from_this();
+    const auto context = job.context;
+    const std::vector<Peer> candidates = this->peers();
+    while (job.triedPeers.size() < maximumPeers) {
+        const auto chosen = choosePeer(
+            candidates, this->settings.region, job.route->allowedRegions, job.triedPeers, job.object, this->random());
+        if (!chosen) {
+            // No further instance is tried.
+            job.triedPeers.resize(maximumPeers);
+            break;
+        }
+        const Peer& peer = candidates[*chosen];
+        job.triedPeers.push_back(peer.name);
+        const ServerPointer endpoint = this->peerEndpoint(peer);
+        const auto connection = co_await this->connectToPeer(job, endpoint);
+        if (context->isCancelled || context->isAborted || this->isHeld(Clock::now()))
+            break;
+        if (!connection) {
+            job.attemptLog += fmt::format("{}:connect ", peer.name);
+            continue;
+        }
+        const unsigned servers = serversForPeer(job.maximumServers - job.attemptsSent);
+        const TimePoint sentAt = Clock::now();
+        std::string head = encodePeerRequestHead(*job.request, this->settings.names, servers, job.deadline - sentAt);
+        context->onCancel = [connection] { connection->close(); };
+        PeerResponseSink sink(*context->sink);
+        ServerResponse response
+            = co_await connection->exchange(job.request, std::move(head), this->settings.names, job.deadline, sink);
+        context->onCancel = {};
+        job.exchanging += Clock::now() - sentAt;
+        applyPeerOutcome(response);
+        if (response.end != AttemptEnd::RejectedByPeer)
+            job.attemptsSent += servers;
+        job.attemptLog += fmt::format("{}:{} ", peer.name, attemptEndName(response.end));
+        this->counters.recordServerAttempt(job.service, fmt::format("peer_{}", attemptEndName(response.end)));
+        this->connections.release(endpoint, connection);
+        co_return response;
+    }
+    co_return std::nullopt;
 }
 
 void Forwarder::onServerCrash(const ServerPointer& server, TimePoint now)
@@ -956,6 +1118,7 @@
             this->recordNeighbourLoad(instance, {}, reportedAt);
     }
     this->connections.closeExpired(now);
+    this->reachability->verifyIfDue(now);
     this->requestQuarantine.expire(now);
     if (this->currentConfiguration)
         this->updateSpills(now);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -4,8 +4,10 @@
 #include "base/random.h"
 #include "forwarding/configuration.h"
 #include "forwarding/forwardingmetrics.h"
+#include "forwarding/peerforwarding.h"
 #include "forwarding/permitclient.h"
 #include "forwarding/placement.h"
+#include "forwarding/reachabilitymonitor.h"
 #include "forwarding/regionspill.h"
 #include "forwarding/requestqueue.h"
 #include "forwarding/serverconnectionpool.h"
@@ -106,6 +108,13 @@
     /// Rate limits of the servers that this instance coordinates, for its heartbeats.
     std::map<std::string, RateLimitState> coordinatedRateLimits(TimePoint now);
 
+    /// The entry instances to which requests pass while this one reaches no backend server. Without the function, none.
+    std::function<std::vector<Peer>()> peers;
+    /// Called when this instance has become stranded, or reaches backend servers again.
+    std::function<void()> onReachabilityChanged;
+    /// Whether this instance reaches no backend server.
+    bool isStranded() const { return this->reachability->state().isStranded; }
+
     /// Called when the process was paused for so long that its knowledge of the backend servers may be outdated. Until
     /// confirmKnowledge() is called, or for a limited time if it is not, requests are not sent.
     std::function<void()> onPaused;
@@ -176,6 +185,15 @@
     bool mergeServerLimit(const ServerPointer& server, const RateLimitState& limit, std::string_view source);
     PermitReply decidePermit(BackendServer& server, Duration maximumDelay, TimePoint now);
     void onConnectFailure(const ServerPointer& server, TimePoint now);
+    /// Whether the next attempt of the request is made by another instance.
+    bool shouldPassToPeer(const Job& job) const;
+    /// Passes the request to another instance. Returns nothing when none could be reached.
+    Awaitable<std::optional<ServerResponse>> attemptThroughPeer(Job& job);
+    Awaitable<std::shared_ptr<ServerConnection>> connectToPeer(Job& job, const ServerPointer& endpoint);
+    /// The endpoint of another instance, which is connected to like a server.
+    ServerPointer peerEndpoint(const Peer& peer);
+    void onServerConnected();
+    void onReachabilityChange();
     void onServerCrash(const ServerPointer& server, TimePoint now);
     bool shouldRetry(const Job& job, const ServerResponse& response, TimePoint now);
     void updateSpills(TimePoint now);
@@ -208,6 +226,12 @@
     TimePoint lastTick {};
     TimePoint nextSummary {};
     ServerConnectionPool connections;
+    std::shared_ptr<ReachabilityMonitor> reachability;
+    TimePoint lastResponseAt {}; ///< From any backend server.
+    /// Assumed cold times before failed connects, by server. The failures may be those of this instance's own links.
+    std::map<ServerPointer, TimePoint> coldTimesBeforeFailure;
+    std::set<std::shared_ptr<ServerConnection>> repeatableExchanges; ///< In progress, of idempotent requests.
+    std::map<std::string, ServerPointer> peerEndpoints; ///< By the name of the instance.
     requests::Quarantine requestQuarantine;
     requests::InFlightTracker tracker;
     std::vector<requests::CrashMark> newCrashMarks;
--- a/src/libs/forwarding/heartbeat.cpp
+++ b/src/libs/forwarding/heartbeat.cpp
@@ -115,6 +115,8 @@
 {
     json::object message { { "version", heartbeatVersion }, { "name", heartbeat.name },
         { "incarnation", heartbeat.incarnation }, { "state", stateName(heartbeat.state) } };
+    if (heartbeat.isStranded)
+        message["stranded"] = true;
     std::string text = json::serialize(message);
     const auto addIfFits = [&](const char* key, json::value value) {
         json::object larger = message;
@@ -160,6 +162,8 @@
             if (stateName(candidate) == state)
                 heartbeat.state = candidate;
         }
+        if (const json::value* isStranded = message.if_contains("stranded"))
+            heartbeat.isStranded = isStranded->as_bool();
         if (const json::value* requestCounts = message.if_contains("in_flight")) {
             for (const auto& item : requestCounts->as_object())
                 heartbeat.inFlight[std::string(item.key())] = item.value().to_number<unsigned>();
--- a/src/libs/forwarding/heartbeat.h
+++ b/src/libs/forwarding/heartbeat.h
@@ -20,6 +20,7 @@
     std::string name;
     std::uint64_t incarnation = 0; ///< Random; new at each start.
     InstanceState state = InstanceState::Starting;
+    bool isStranded = false; ///< Reaches no backend server; see ServerReachability.
     std::map<std::string, double> regionUtilization; ///< Utilization of its region's slots, by service.
     std::map<std::string, unsigned> inFlight; ///< Requests per backend server; sent to the local zone only.
     std::vector<requests::CrashMark> crashMarks; ///< Recently observed crashes.
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -7,6 +7,25 @@
 
 namespace clementinefall::forwarding {
 
+namespace {
+
+/// The instances of \a zone, or else of \a region, or else all.
+std::vector<const InstanceInfo*> nearest(
+    const std::vector<const InstanceInfo*>& instances, const std::string& zone, const std::string& region)
+{
+    const auto select = [&](auto&& matches) {
+        std::vector<const InstanceInfo*> chosen;
+        std::copy_if(instances.begin(), instances.end(), std::back_inserter(chosen), matches);
+        return chosen;
+    };
+    std::vector<const InstanceInfo*> chosen = select([&](const auto* info) { return info->zone == zone; });
+    if (chosen.empty())
+        chosen = select([&](const auto* info) { return info->region == region; });
+    return chosen.empty() ? instances : chosen;
+}
+
+} // namespace
+
 void InstanceTable::add(const InstanceInfo& instance, TimePoint now)
 {
     if (instance.name == this->localInfo.name)
@@ -52,6 +71,7 @@
     if (found == this->registered.end() || found->second.info.incarnation != heartbeat.incarnation)
         return false;
     found->second.state = heartbeat.state;
+    found->second.isStranded = heartbeat.isStranded;
     found->second.lastHeartbeat = now;
     return true;
 }
@@ -125,8 +145,7 @@
     return result;
 }
 
-std::vector<const InstanceInfo*> InstanceTable::readyNear(
-    const std::string& zone, const std::string& region, bool isSelfReady, TimePoint now) const
+std::vector<const InstanceInfo*> InstanceTable::readyInstances(bool isSelfReady, TimePoint now) const
 {
     std::vector<const InstanceInfo*> ready;
     if (isSelfReady)
@@ -135,21 +154,33 @@
         if (entry.state == InstanceState::Ready && this->isLive(entry, now))
             ready.push_back(&entry.info);
     }
-    const auto select = [&](auto&& matches) {
-        std::vector<const InstanceInfo*> chosen;
-        std::copy_if(ready.begin(), ready.end(), std::back_inserter(chosen), matches);
-        return chosen;
-    };
-    std::vector<const InstanceInfo*> chosen = select([&](const auto* info) { return info->zone == zone; });
-    if (chosen.empty())
-        chosen = select([&](const auto* info) { return info->region == region; });
-    return chosen.empty() ? ready : chosen;
+    return ready;
+}
+
+std::vector<const InstanceInfo*> InstanceTable::withoutStranded(const std::vector<const InstanceInfo*>& instances) const
+{
+    std::vector<const InstanceInfo*> result;
+    std::copy_if(instances.begin(), instances.end(), std::back_inserter(result), [this](const InstanceInfo* info) {
+        const auto found = this->registered.find(info->name);
+        return found == this->registered.end() ? !this->isSelfStranded : !found->second.isStranded;
+    });
+    return result;
+}
+
+std::vector<Peer> InstanceTable::peers(TimePoint now) const
+{
+    std::vector<Peer> result;
+    for (const InstanceInfo* info : this->withoutStranded(this->readyInstances(false, now))) {
+        if (info->requests.port != 0)
+            result.push_back({ .name = info->name, .region = info->region, .address = info->requests });
+    }
+    return result;
 }
 
 std::optional<InstanceInfo> InstanceTable::permitCoordinator(const std::string& serverId, const std::string& zone,
     const std::string& region, bool isSelfReady, TimePoint now) const
 {
-    const std::vector<const InstanceInfo*> candidates = this->readyNear(zone, region, isSelfReady, now);
+    const std::vector<const InstanceInfo*> candidates = nearest(this->readyInstances(isSelfReady, now), zone, region);
     if (candidates.empty())
         return std::nullopt;
     std::vector<std::string> names;
@@ -163,7 +194,13 @@
 std::vector<HostPort> InstanceTable::callerAddresses(
     const std::string& zone, const std::string& region, bool isSelfReady, std::size_t maximum, TimePoint now) const
 {
-    std::vector<const InstanceInfo*> chosen = this->readyNear(zone, region, isSelfReady, now);
+    const std::vector<const InstanceInfo*> ready = this->readyInstances(isSelfReady, now);
+    const std::vector<const InstanceInfo*> reaching = this->withoutStranded(ready);
+    const auto inZone = [&zone](const InstanceInfo* info) { return info->zone == zone; };
+    const auto remaining = 2 * std::count_if(reaching.begin(), reaching.end(), inZone);
+    const bool isZoneWeak = remaining < std::count_if(ready.begin(), ready.end(), inZone);
+    std::vector<const InstanceInfo*> chosen
+        = nearest(reaching.empty() ? ready : reaching, isZoneWeak && !reaching.empty() ? std::string() : zone, region);
     if (chosen.size() > maximum) {
         // The order depends only on the zone: responses of all instances agree, and zones get different subsets.
         const std::uint64_t seed = hash64(zone);
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -2,6 +2,7 @@
 
 #include "base/settings.h"
 #include "forwarding/heartbeat.h"
+#include "forwarding/peerforwarding.h"
 
 #include <map>
 #include <optional>
@@ -17,6 +18,7 @@
     std::string region;
     HostPort callers; ///< Address for callers.
     HostPort heartbeats; ///< Address for other instances: UDP for heartbeats, TCP for the relay of the store's changes.
+    HostPort requests {}; ///< Address for requests of other instances; without a port for releases that accept none.
     std::uint64_t incarnation = 0;
 };
 
@@ -53,6 +55,11 @@
     /// All other registered instances.
     std::vector<InstanceInfo> others() const;
     bool isLive(const std::string& name, TimePoint now) const;
+    /// Sets whether this instance reaches no backend server.
+    void setStranded(bool isStranded) { this->isSelfStranded = isStranded; }
+    /// The other ready instances that accept requests of others and reach backend servers.
+    std::vector<Peer> peers(TimePoint now) const;
+
     /// Empty for an instance that is not registered.
     std::string regionOf(const std::string& name) const;
 
@@ -74,7 +81,9 @@
         const std::string& region, bool isSelfReady, TimePoint now) const;
 
     /// Addresses for callers in \a zone of \a region: the ready instances of the zone, or else of the region, or else
-    /// all; at most \a maximum. \a isSelfReady tells whether this instance accepts new callers.
+    /// all; at most \a maximum. Stranded instances are left out unless all are. When fewer than half of the zone's
+    /// instances remain, those of the region share its callers. \a isSelfReady tells whether this instance accepts new
+    /// callers.
     std::vector<HostPort> callerAddresses(
         const std::string& zone, const std::string& region, bool isSelfReady, std::size_t maximum, TimePoint now) const;
 
@@ -82,12 +91,13 @@
     struct RegisteredInstance {
         InstanceInfo info;
         InstanceState state = InstanceState::Ready;
+        bool isStranded = false;
         TimePoint lastHeartbeat {};
     };
 
-    /// The ready instances of \a zone, or else of \a region, or else all.
-    std::vector<const InstanceInfo*> readyNear(
-        const std::string& zone, const std::string& region, bool isSelfReady, TimePoint now) const;
+    std::vector<const InstanceInfo*> readyInstances(bool isSelfReady, TimePoint now) const;
+    /// Those of \a instances that are not stranded.
+    std::vector<const InstanceInfo*> withoutStranded(const std::vector<const InstanceInfo*>& instances) const;
 
     bool isLive(const RegisteredInstance& entry, TimePoint now) const
     {
@@ -96,6 +106,7 @@
 
     InstanceInfo localInfo;
     std::map<std::string, RegisteredInstance> registered; ///< By name, without this instance.
+    bool isSelfStranded = false;
     bool hasList = false; ///< Set by the first list of instances.
 };
 
--- /dev/null
+++ b/src/libs/forwarding/peerforwarding.cpp
@@ -0,0 +1,120 @@
+#include "forwarding/peerforwarding.h"
+
+#include "base/hash.h"
+#include "http/message.h"
+
+#include <boost/beast/core/string.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace clementinefall::forwarding {
+
+using requests::AttemptEnd;
+
+namespace {
+
+/// Name of the field with the number of servers that may be tried.
+constexpr std::string_view maximumServersField = "Clementine-Servers";
+
+constexpr unsigned maximumServersBound = 1000;
+
+/// Inserts a field before all others of \a head: a caller or a server may have sent one with the same name.
+void prependField(std::string& head, std::string_view name, std::string_view value)
+{
+    constexpr std::string_view endOfLine = "\r\n";
+    head.insert(head.find(endOfLine) + endOfLine.size(), fmt::format("{}: {}{}", name, value, endOfLine));
+}
+
+auto findField(std::vector<std::pair<std::string, std::string>>& fields, std::string_view name)
+{
+    return std::find_if(fields.begin(), fields.end(), [name](const auto& field) {
+        return beast::iequals(field.first, { name.data(), name.size() });
+    });
+}
+
+} // namespace
+
+std::optional<std::size_t> choosePeer(std::span<const Peer> peers, const std::string& localRegion,
+    std::span<const std::string> allowedRegions, std::span<const std::string> tried, std::uint64_t object,
+    std::uint64_t random)
+{
+    std::optional<std::size_t> best;
+    std::pair<bool, std::uint64_t> bestRank;
+    for (std::size_t i = 0; i < peers.size(); ++i) {
+        const Peer& peer = peers[i];
+        if (std::find(tried.begin(), tried.end(), peer.name) != tried.end())
+            continue;
+        if (!allowedRegions.empty()
+            && std::find(allowedRegions.begin(), allowedRegions.end(), peer.region) == allowedRegions.end())
+            continue;
+        const std::pair rank { peer.region == localRegion, hash64(peer.name, object != 0 ? object : random) };
+        if (!best || rank > bestRank) {
+            best = i;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+unsigned serversForPeer(unsigned remaining) { return remaining > 1 ? remaining - 1 : 1; }
+
+std::string encodePeerRequestHead(
+    const ForwardedRequest& request, const WireNames& names, unsigned maximumServers, Duration timeLeft)
+{
+    std::string head = encodeRequestHead(request, names, {}, timeLeft);
+    prependField(head, maximumServersField, std::to_string(maximumServers));
+    return head;
+}
+
+Status decodePeerRequest(ForwardedRequest& request)
+{
+    const auto field = findField(request.fields, maximumServersField);
+    if (field == request.fields.end())
+        return makeError(ResultCode::BadRequest, "the {} field is missing", maximumServersField);
+    const std::string& text = field->second;
+    unsigned servers = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), servers);
+    if (error != std::errc() || end != text.data() + text.size() || servers == 0 || servers > maximumServersBound)
+        return makeError(ResultCode::BadRequest, "the {} field is not a number of servers", maximumServersField);
+    request.serversAllowedByPeer = servers;
+    request.fields.erase(field);
+    return okStatus();
+}
+
+std::string encodePeerResponseHead(const CallerResponse& response, std::optional<std::size_t> bodyBytes)
+{
+    std::string head = encodeResponseHead(response, bodyBytes);
+    prependField(head, http::HeaderName::outcome, outcomeName(outcomeOf(response.code)));
+    return head;
+}
+
+Awaitable<bool> PeerResponseSink::begin(const CallerResponse& head, std::optional<std::size_t> length)
+{
+    CallerResponse withoutOutcome = head;
+    const auto field = findField(withoutOutcome.fields, http::HeaderName::outcome);
+    if (field != withoutOutcome.fields.end())
+        withoutOutcome.fields.erase(field);
+    co_return co_await this->sink.begin(withoutOutcome, length);
+}
+
+void applyPeerOutcome(ServerResponse& response)
+{
+    if (response.end != AttemptEnd::Answered && response.end != AttemptEnd::ShedByServer)
+        return;
+    auto& fields = response.message.fields;
+    const auto field = findField(fields, http::HeaderName::outcome);
+    const std::string outcome = field == fields.end() ? std::string() : field->second;
+    if (field != fields.end())
+        fields.erase(field);
+    if (outcome == outcomeName(Outcome::Answered))
+        response.end = AttemptEnd::Answered;
+    else if (outcome == outcomeName(Outcome::NotRun))
+        response.end = AttemptEnd::RejectedByPeer;
+    else
+        response.end = AttemptEnd::NotDecided;
+    response.message.code = requests::codeOfAttempt(response.end);
+}
+
+} // namespace clementinefall::forwarding
--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -164,6 +164,15 @@
     return found == this->byService.end() ? none : found->second;
 }
 
+std::vector<ServerPointer> ServerCatalog::allServers() const
+{
+    std::vector<ServerPointer> result;
+    result.reserve(this->servers.size());
+    for (const auto& [id, server] : this->servers)
+        result.push_back(server);
+    return result;
+}
+
 ServerPointer ServerCatalog::find(const std::string& id) const
 {
     const auto found = this->servers.find(id);
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -69,6 +69,9 @@
     /// Servers of a service, including unusable ones; empty for an unknown service.
     const std::vector<ServerPointer>& serversOf(const std::string& service) const;
 
+    /// Servers of all services, including unusable ones.
+    std::vector<ServerPointer> allServers() const;
+
     ServerPointer find(const std::string& id) const;
     std::size_t size() const { return this->servers.size(); }
 
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -51,6 +51,10 @@
 constexpr seconds maximumStall { 10 };
 constexpr seconds maximumStreamingOverrun { 10 };
 
+/// Connect timeout: this base plus a number of round trips.
+constexpr milliseconds connectTimeoutBase { 250 };
+constexpr unsigned connectRoundTrips = 3;
+
 std::optional<unsigned> parseUnsigned(std::string_view text)
 {
     unsigned value = 0;
@@ -87,6 +91,11 @@
 
 } // namespace
 
+Duration connectTimeout(const BackendServer& server)
+{
+    return connectTimeoutBase + connectRoundTrips * server.connectTime;
+}
+
 struct ServerConnection::PendingResponse {
     using Parser = beast::http::response_parser<beast::http::string_body>;
 
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -38,6 +38,9 @@
     virtual Awaitable<bool> write(std::string_view chunk) = 0;
 };
 
+/// Timeout for a new connection to \a server. Well under a second, to leave time for another server.
+Duration connectTimeout(const BackendServer& server);
+
 /// One connection to a backend server, with one request at a time. It is closed after a request that did not end
 /// cleanly, so that a late response is never taken for that of a later request. Not thread-safe: all calls are made on
 /// the executor's thread.
--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -58,6 +58,48 @@
         CHECK(ports("b", "north", true, start + milliseconds(3100)) == std::vector<int> { 100 });
     }
 
+    SECTION("callers are not sent to instances that reach no backend server")
+    {
+        const auto report = [&table](const InstanceInfo& info, bool isStranded) {
+            Heartbeat heartbeat = heartbeatOf(info, InstanceState::Ready);
+            heartbeat.isStranded = isStranded;
+            REQUIRE(table.recordHeartbeat(heartbeat, start));
+        };
+        report(neighbour, true);
+        CHECK(ports("a", "north", true, start) == std::vector<int> { 100 });
+
+        SECTION("those of a zone with fewer than half of its instances are shared by the region")
+        {
+            table.setStranded(true);
+            CHECK(ports("a", "north", true, start) == std::vector<int> { 300 });
+            report(other, true);
+            CHECK(ports("a", "north", true, start) == std::vector<int> { 400 });
+        }
+        SECTION("unless none reaches any")
+        {
+            table.setStranded(true);
+            report(other, true);
+            report(far, true);
+            CHECK(ports("a", "north", true, start) == std::vector<int> { 100, 200 });
+        }
+        SECTION("until they reach them again")
+        {
+            report(neighbour, false);
+            CHECK(ports("a", "north", true, start) == std::vector<int> { 100, 200 });
+        }
+        SECTION("and requests pass only to instances that reach servers and accept them")
+        {
+            InstanceInfo accepting = other;
+            accepting.requests = { "127.0.0.1", 302 };
+            table.add(accepting, start);
+            const std::vector<Peer> peers = table.peers(start);
+            REQUIRE(peers.size() == 1);
+            CHECK(peers.front().address.port == 302);
+            report(accepting, true);
+            CHECK(table.peers(start).empty());
+        }
+    }
+
     SECTION("heartbeats keep an instance listed during an outage of the store")
     {
         CHECK(table.recordHeartbeat(heartbeatOf(neighbour, InstanceState::Ready), start + seconds(60)));
@@ -182,12 +224,24 @@
     }
 }
 
+TEST_CASE("Heartbeats of an instance that reaches no backend server say so")
+{
+    Heartbeat heartbeat = heartbeatOf(instanceOf("self", "a", "north", 100), InstanceState::Ready);
+    for (const bool isStranded : { false, true }) {
+        heartbeat.isStranded = isStranded;
+        const Result<Heartbeat> decoded = decodeHeartbeat(encodeHeartbeat(heartbeat, start), start);
+        REQUIRE(isOk(decoded));
+        CHECK(valueOf(decoded).isStranded == isStranded);
+    }
+}
+
 TEST_CASE("Senders to a cold server while instances cannot hear of each other")
 {
     std::vector<InstanceInfo> fleet;
     for (std::uint16_t i = 0; i < 8; ++i)
         fleet.push_back(instanceOf("entry-" + std::to_string(i), i % 2 == 0 ? "a" : "b", "north", 100 + 10 * i));
     std::vector<InstanceTable> tables;
+    tables.reserve(fleet.size());
     for (const InstanceInfo& info : fleet)
         tables.emplace_back(info);
     const auto sendersOf = [&](const std::string& server, TimePoint at) {
--- /dev/null
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -0,0 +1,385 @@
+#include "forwarding/callerserver.h"
+#include "forwarding/peerforwarding.h"
+#include "forwarding/scriptedserver.h"
+#include "forwarding/testwirenames.h"
+
+#include <boost/asio/read.hpp>
+#include <catch2/catch.hpp>
+
+using namespace clementinefall;
+using namespace clementinefall::forwarding;
+using asio::ip::tcp;
+using requests::AttemptEnd;
+
+namespace {
+
+std::string requestBytes(const std::string& id, const std::string& path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Id: " + id
+        + "\r\nX-Left: 3000\r\nClementine-Servers: 7\r\n\r\n";
+}
+
+/// An entry instance with one backend service, whose servers a test chooses.
+class Instance {
+public:
+    Instance(asio::io_context& context, const std::string& name, std::vector<std::uint16_t> serverPorts)
+    {
+        const InstanceLocation location { "a", "north", { { "a", "north" } } };
+        this->catalog = std::make_shared<ServerCatalog>(location);
+        ForwarderSettings settings;
+        settings.instance = name;
+        settings.region = "north";
+        settings.names = testWireNames();
+        settings.retryAllowance = 100;
+        this->forwarder = std::make_shared<Forwarder>(context.get_executor(), settings, this->catalog);
+        auto configuration = std::make_shared<Configuration>();
+        configuration->version = 1;
+        Route safe;
+        safe.name = "safe";
+        safe.host = "shop.example";
+        safe.pathPrefix = "/safe/";
+        safe.kind = RouteKind::Idempotent;
+        safe.timeout = seconds(3);
+        safe.targetLatency = milliseconds(500);
+        safe.maximumServers = 3;
+        safe.services = { { "stock", 1 } };
+        Route once = safe;
+        once.name = "once";
+        once.pathPrefix = "/once/";
+        once.kind = RouteKind::NonIdempotent;
+        Route file = safe;
+        file.name = "file";
+        file.pathPrefix = "/file/";
+        file.kind = RouteKind::Download;
+        configuration->routes = { safe, once, file };
+        Service service;
+        service.name = "stock";
+        service.coldTime = seconds(3);
+        service.coldRequestsPerSecond = 5;
+        configuration->services["stock"] = service;
+        this->forwarder->configure(configuration);
+        for (std::size_t i = 0; i < serverPorts.size(); ++i) {
+            ServerEntry entry;
+            entry.id = "s" + std::to_string(i);
+            entry.service = "stock";
+            entry.address = { "127.0.0.1", serverPorts[i] };
+            entry.zone = "a";
+            entry.slots = 4;
+            this->catalog->apply(entry, Clock::now());
+        }
+        this->sessions = std::make_shared<SessionContext>();
+        this->sessions->forwarder = this->forwarder;
+        this->sessions->names = testWireNames();
+        this->callers = std::make_shared<CallerServer>(context.get_executor(), this->sessions, 100);
+        this->peerRequests
+            = std::make_shared<CallerServer>(context.get_executor(), this->sessions, 100, RequestSource::EntryInstance);
+        REQUIRE(isOk(this->callers->listen({ "127.0.0.1", 0 })));
+        REQUIRE(isOk(this->peerRequests->listen({ "127.0.0.1", 0 })));
+    }
+
+    Peer asPeer(const std::string& name) const
+    {
+        return { name, "north", { "127.0.0.1", this->peerRequests->port() } };
+    }
+
+    std::shared_ptr<ServerCatalog> catalog;
+    std::shared_ptr<Forwarder> forwarder;
+    std::shared_ptr<SessionContext> sessions;
+    std::shared_ptr<CallerServer> callers;
+    std::shared_ptr<CallerServer> peerRequests;
+};
+
+/// A port on which nothing listens.
+std::uint16_t closedPort(asio::io_context& context)
+{
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+class Fixture {
+public:
+    Fixture()
+        : server(this->context)
+        , stranded(this->context, "stranded",
+              { closedPort(this->context), closedPort(this->context), closedPort(this->context),
+                  closedPort(this->context) })
+        , reaching(this->context, "reaching", { this->server.port() })
+    {
+        this->server.script
+            = [](const std::string& request) { return ScriptedResponse { responseBytes(idOf(request), "whole") }; };
+        this->stranded.forwarder->peers = [this] { return std::vector<Peer> { this->reaching.asPeer("reaching") }; };
+    }
+
+    std::string exchange(std::uint16_t port, const std::string& bytes)
+    {
+        auto socket = std::make_shared<tcp::socket>(this->context);
+        socket->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+        asio::write(*socket, asio::buffer(bytes));
+        std::string text;
+        std::array<char, 65536> part {};
+        bool isDone = false;
+        std::function<void()> read = [&] {
+            socket->async_read_some(asio::buffer(part), [&](beast::error_code error, std::size_t count) {
+                text.append(part.data(), count);
+                const std::size_t end = text.find("\r\n\r\n");
+                const std::size_t lengthAt = text.find("Content-Length: ");
+                if (!error
+                    && (end == std::string::npos || lengthAt == std::string::npos
+                        || text.size() < end + 4 + std::stoul(text.substr(lengthAt + 16))))
+                    read();
+                else
+                    isDone = true;
+            });
+        };
+        read();
+        const TimePoint limit = Clock::now() + seconds(5);
+        while (!isDone && Clock::now() < limit)
+            this->context.run_one_for(milliseconds(50));
+        REQUIRE(isDone);
+        socket->close();
+        return text;
+    }
+
+    std::string ask(const std::string& id, const std::string& path)
+    {
+        return this->exchange(this->stranded.callers->port(), requestBytes(id, path));
+    }
+
+    asio::io_context context;
+    ScriptedServer server;
+    Instance stranded;
+    Instance reaching;
+};
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+} // namespace
+
+TEST_CASE("Callers of an entry instance that reaches no backend server")
+{
+    Fixture fixture;
+
+    SECTION("are served through another instance")
+    {
+        const std::string response = fixture.ask("r1", "/safe/1");
+        CHECK(contains(response, "HTTP/1.1 200"));
+        CHECK(contains(response, "whole"));
+        CHECK(fixture.server.requests.size() == 1);
+
+        SECTION("with the request unchanged, and nothing of the instances' own in it or in the response")
+        {
+            CHECK(contains(fixture.server.requests.front(), "X-Id: r1\r\n"));
+            CHECK(contains(fixture.server.requests.front(), "Clementine-Servers: 7\r\n"));
+            CHECK(fixture.server.requests.front().find("Clementine-Servers", 0)
+                == fixture.server.requests.front().rfind("Clementine-Servers"));
+            CHECK_FALSE(contains(response, "Clementine-"));
+        }
+
+        SECTION("at once after the instance has found out")
+        {
+            for (int i = 0; i < 20 && !fixture.stranded.forwarder->isStranded(); ++i)
+                fixture.context.run_one_for(milliseconds(50));
+            REQUIRE(fixture.stranded.forwarder->isStranded());
+            CHECK(contains(fixture.ask("r2", "/once/2"), "whole"));
+            CHECK(fixture.server.requests.size() == 2);
+        }
+    }
+
+    SECTION("get long responses whole, and one that breaks off not as whole")
+    {
+        const std::string body(400 * 1024, 'x');
+        fixture.server.script = [&](const std::string& request) {
+            const std::string bytes = responseBytes(idOf(request), body);
+            return idOf(request) == "cut"
+                ? ScriptedResponse { .bytes = bytes.substr(0, bytes.size() - 5), .closes = true }
+                : ScriptedResponse { bytes };
+        };
+        const std::string whole = fixture.ask("whole", "/file/1");
+        CHECK(whole.size() > body.size());
+        CHECK_FALSE(contains(whole, "Clementine-"));
+        CHECK(fixture.ask("cut", "/file/2").size() < body.size() + whole.find("\r\n\r\n") + 4);
+    }
+
+    SECTION("are told that a request may have run when the server that got it was lost")
+    {
+        fixture.server.script = [](const std::string&) { return ScriptedResponse { .bytes = "", .resets = true }; };
+        const std::string response = fixture.ask("r1", "/once/1");
+        CHECK(contains(response, "HTTP/1.1 502"));
+        CHECK(fixture.server.requests.size() == 1);
+    }
+
+    SECTION("are told that a request did not run, with the time to come back, when the other instance is full")
+    {
+        fixture.reaching.sessions->rejectsNewRequests = true;
+        const std::string response = fixture.ask("r1", "/once/1");
+        CHECK(contains(response, "HTTP/1.1 503"));
+        CHECK(contains(response, "Retry-After: "));
+        CHECK(fixture.server.requests.empty());
+    }
+
+    SECTION("are not told 404 because the other instance does not know the route yet")
+    {
+        auto older = std::make_shared<Configuration>();
+        older->version = 2;
+        fixture.reaching.forwarder->configure(older);
+        CHECK(contains(fixture.ask("r1", "/safe/1"), "HTTP/1.1 503"));
+    }
+
+    SECTION("are rejected when the other instance is stranded too; the request does not circulate")
+    {
+        Instance another(fixture.context, "another", { closedPort(fixture.context), closedPort(fixture.context) });
+        std::size_t passed = 0;
+        another.forwarder->peers = [&] {
+            ++passed;
+            return std::vector<Peer> { fixture.stranded.asPeer("stranded") };
+        };
+        fixture.stranded.forwarder->peers = [&] { return std::vector<Peer> { another.asPeer("another") }; };
+        CHECK(contains(fixture.ask("r1", "/safe/1"), "HTTP/1.1 503"));
+        CHECK(passed == 0);
+    }
+
+    SECTION("have a request that is safe to repeat sent through a second instance when the first is lost")
+    {
+        ScriptedServer lost(fixture.context);
+        lost.script = [](const std::string&) { return ScriptedResponse { .bytes = "", .resets = true }; };
+        const Peer lostPeer { "lost", "north", { "127.0.0.1", lost.port() } };
+        fixture.stranded.forwarder->peers = [&, lostPeer] {
+            return std::vector<Peer> { lostPeer, fixture.reaching.asPeer("reaching") };
+        };
+        for (int i = 0; i < 8; ++i)
+            CHECK(contains(fixture.ask("r" + std::to_string(i), "/safe/" + std::to_string(i)), "whole"));
+        CHECK_FALSE(lost.requests.empty());
+        const std::string once = fixture.ask("once", "/once/1");
+        CHECK(fixture.server.requests.size() + lost.requests.size() > 8);
+        CHECK((contains(once, "whole") || contains(once, "HTTP/1.1 504") || contains(once, "HTTP/1.1 502")));
+    }
+}
+
+TEST_CASE("An entry instance that recovers its links to the backend servers")
+{
+    asio::io_context context;
+    ScriptedServer server(context);
+    server.script
+        = [](const std::string& request) { return ScriptedResponse { responseBytes(idOf(request), "whole") }; };
+    auto catalog = std::make_shared<ServerCatalog>(InstanceLocation { "a", "north", { { "a", "north" } } });
+    const auto monitor = std::make_shared<ReachabilityMonitor>(context.get_executor(), catalog);
+    ServerEntry entry;
+    entry.id = "s1";
+    entry.service = "stock";
+    entry.zone = "a";
+    entry.address = { "127.0.0.1", closedPort(context) };
+    catalog->apply(entry, Clock::now());
+    unsigned changes = 0;
+    monitor->onChanged = [&changes] { ++changes; };
+    auto failed = std::make_shared<BackendServer>();
+    failed->entry.id = "s2";
+    monitor->recordFailure(catalog->find("s1"), Clock::now());
+    monitor->recordFailure(failed, Clock::now());
+    const auto runUntilChange = [&](unsigned number) {
+        const TimePoint limit = Clock::now() + seconds(5);
+        while (changes < number && Clock::now() < limit)
+            context.run_one_for(milliseconds(50));
+    };
+    runUntilChange(1);
+    REQUIRE(monitor->state().isStranded);
+    REQUIRE(changes == 1);
+
+    SECTION("notices it without a request")
+    {
+        entry.address = { "127.0.0.1", server.port() };
+        entry.sequence = 1;
+        catalog->apply(entry, Clock::now());
+        monitor->verifyIfDue(monitor->state().verifiedAt + verificationInterval);
+        runUntilChange(2);
+        CHECK_FALSE(monitor->state().isStranded);
+        CHECK(server.requests.empty());
+    }
+}
+
+TEST_CASE("Requests that pass between entry instances")
+{
+    ForwardedRequest request;
+    request.fields = { { "Clementine-Servers", "2" }, { "Clementine-Servers", "9" } };
+
+    SECTION("carry the number of servers that may be tried, and the caller's own field of that name stays")
+    {
+        REQUIRE(isOk(decodePeerRequest(request)));
+        CHECK(request.serversAllowedByPeer == 2U);
+        CHECK(request.fields.size() == 1);
+    }
+
+    SECTION("are rejected without that number, or with one that is none")
+    {
+        for (const std::string text : { "", "0", "-1", "1e3", "4294967296", "1001", "two" }) {
+            request.fields = { { "Clementine-Servers", text } };
+            CHECK_FALSE(isOk(decodePeerRequest(request)));
+        }
+        request.fields.clear();
+        CHECK_FALSE(isOk(decodePeerRequest(request)));
+    }
+
+    SECTION("leave one server to try after the loss of the other instance")
+    {
+        CHECK(serversForPeer(3) == 2);
+        CHECK(serversForPeer(1) == 1);
+    }
+
+    SECTION("a response without an outcome decides nothing, whatever its status")
+    {
+        ServerResponse response;
+        response.end = AttemptEnd::Answered;
+        response.message.status = 503;
+        applyPeerOutcome(response);
+        CHECK(response.end == AttemptEnd::NotDecided);
+    }
+
+    SECTION("the outcome of the other instance counts, not that of a server")
+    {
+        ServerResponse response;
+        response.end = AttemptEnd::Answered;
+        response.message.status = 503;
+        response.message.fields = { { "Clementine-Outcome", "answered" }, { "Clementine-Outcome", "not-run" } };
+        applyPeerOutcome(response);
+        CHECK(response.end == AttemptEnd::Answered);
+        CHECK(response.message.fields.size() == 1);
+    }
+}
+
+TEST_CASE("Choice of the instance that a request passes to")
+{
+    const std::vector<Peer> peers { { "a", "south", {} }, { "b", "north", {} }, { "c", "north", {} },
+        { "d", "south", {} } };
+    const std::vector<std::string> none;
+
+    SECTION("instances of the same region come first, and the same object goes to the same one")
+    {
+        for (std::uint64_t object = 1; object < 50; ++object) {
+            const auto chosen = choosePeer(peers, "north", none, none, object, object * 7);
+            REQUIRE(chosen);
+            CHECK(peers[*chosen].region == "north");
+            CHECK(chosen == choosePeer(peers, "north", none, none, object, 3));
+        }
+    }
+
+    SECTION("the requests of a stranded region are spread over the others")
+    {
+        std::map<std::string, int> counts;
+        for (std::uint64_t random = 0; random < 200; ++random)
+            ++counts[peers[*choosePeer(peers, "west", none, none, 0, random)].name];
+        CHECK(counts.size() == peers.size());
+    }
+
+    SECTION("a request stays in the regions that its route allows")
+    {
+        const std::vector<std::string> allowed { "south" };
+        CHECK(peers[*choosePeer(peers, "north", allowed, none, 5, 0)].region == "south");
+        const std::vector<std::string> elsewhere { "east" };
+        CHECK_FALSE(choosePeer(peers, "north", elsewhere, none, 5, 0));
+    }
+
+    SECTION("an instance that was tried is left out")
+    {
+        const std::vector<std::string> tried { "b", "c" };
+        CHECK(peers[*choosePeer(peers, "north", none, tried, 5, 0)].region == "south");
+    }
+}
