Follow the store beside an entry that no parser accepts

What callers may see: instances use servers that left, and miss new ones (DRAIN, CONFIG), after another writer left an odd entry. Cause: a list or a set of changes was parsed as a whole. One entry that is nested over 32 levels deep, or has an exponent out of range, made all of it unreadable, for as long as the entry stood there; a follower of a watcher had three levels less. Class: one writer's data decide about all others'. Relayed changes may be twice as deep. A port out of range was rejected alone already.

--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -355,7 +355,10 @@
     if (status != 200)
         co_return makeError(ResultCode::PlatformBadAnswer, "watcher: {}", valueOf(response).body());
     try {
-        const json::value document = json::parse(valueOf(response).body());
+        // Objects as deep as the store's may be stand a few levels deeper here.
+        json::parse_options options;
+        options.max_depth = 2 * options.max_depth;
+        const json::value document = json::parse(valueOf(response).body(), {}, options);
         RelayedChanges result;
         result.age = milliseconds(document.at("age_ms").to_number<std::uint32_t>());
         const json::value* era = document.as_object().if_contains("era");
