Do not take an old refusal on a kept connection for that of a later request

What callers may see: "not run, try again" for a request that a server runs (REFUSED), or a second run of it (TWICE). Cause: a refusal without a request id was believed on any connection. A faulty server that writes an earlier one once more puts it where the response to the next request is due. Class: a proof that does not say what it proves. Change: a refusal without an id counts only as the first response of a connection; otherwise the outcome is unknown and the connection is closed. One with the id of another request was skipped already. Evidence: tst_callersession "an earlier rejection that the server writes again": without an id, and as 421, the request ran at two servers (4 assertions failed before).

--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -242,6 +242,7 @@
     }
     this->watchdog.cancel();
     this->lastUsedAt = Clock::now();
+    this->hasCarriedRequest = true;
     this->reusable = this->isRequestWritten && pending.parser->keep_alive() && !pending.parser->need_eof()
         && this->buffer.size() == 0 && !this->isCancelled && !this->hasTimedOut;
     // A rejection without a request id may belong to an earlier request, so the connection is not reused.
@@ -282,7 +283,8 @@
         const Duration stated = seconds(*keepAlive);
         this->idleLimit = std::max<Duration>(stated - idleMargin, stated / 2);
     }
-    if (!isNotRun && id.empty()) {
+    if (id.empty() && (!isNotRun || this->hasCarriedRequest)) {
+        // A rejection without an id proves something only when no other request can be meant.
         pending.isInvalid = true;
         result.detail = "the response has no request id";
     } else if (status / 100 == 2 && (!result.hasSeal || isNotRun)) {
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -87,6 +87,7 @@
     TimePoint lastUsedAt {};
     Duration idleLimit;
     bool reusable = false; ///< The last exchange ended cleanly.
+    bool hasCarriedRequest = false; ///< Before the current request.
     bool hasTimedOut = false;
     bool isCancelled = false;
     TimePoint requestSentAt {}; ///< Start of the current request.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -341,6 +341,45 @@
         CHECK(text.find("X-Id: r2") != std::string::npos);
     }
 
+    SECTION("is not rejected as not run by an earlier rejection that the server writes again on a kept connection")
+    {
+        std::string rejection;
+        SECTION("with the id of the earlier request")
+        {
+            rejection = "HTTP/1.1 503 Busy\r\nX-Id: r1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        }
+        SECTION("without an id") { rejection = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"; }
+        SECTION("as misdirected") { rejection = "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"; }
+        fixture.addServer("s2", fixture.second.port());
+        unsigned run = 0;
+        const auto respond = [&](const std::string& request) {
+            const std::string id = idOf(request);
+            run += id == "r2" ? 1 : 0;
+            return ScriptedResponse { (id == "r2" ? rejection : std::string()) + responseBytes(id, "own") };
+        };
+        fixture.first.script = respond;
+        fixture.second.script = respond;
+        for (int i = 0; i < 4; ++i)
+            fixture.exchange(requestBytes("r1", "/once/" + std::to_string(i), "POST"), "own");
+        const std::string text = fixture.exchange(requestBytes("r2", "/once/9", "POST"), "\r\n\r\n");
+        CHECK_FALSE(text.starts_with("HTTP/1.1 503"));
+        CHECK(run == 1);
+    }
+
+    SECTION("never gets a success when the server stops within the head of its response and closes")
+    {
+        const std::string whole = responseBytes("r1", "whole", "X-Seal: s\r\nX-More: yes\r\n");
+        const std::size_t headBytes = whole.find("\r\n\r\n") + 4;
+        for (std::size_t bytes = 1; bytes < headBytes; ++bytes) {
+            fixture.first.script = [&](const std::string&) {
+                return ScriptedResponse { .bytes = whole.substr(0, bytes), .closes = true };
+            };
+            const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "\r\n\r\n");
+            INFO(whole.substr(0, bytes));
+            CHECK(text.starts_with("HTTP/1.1 502"));
+        }
+    }
+
     SECTION("gets 504 after its route's timeout, and the connection to the server is closed")
     {
         fixture.first.script = [](const std::string&) { return ScriptedResponse { .bytes = "", .isHeld = true }; };
