Do not say "not run" after a server's own failure of the same request

What callers may see: 503, "not run", for a request that a server has run and answered with 500, when the instance is stranded then and both other instances reject the request. Cause: the rejection of another instance was passed on unless an earlier attempt had an unknown outcome; a known failure was forgotten. Class: a refusal that speaks for one attempt is taken for the whole request. Change: with an earlier failure, that failure is the response.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -529,8 +529,8 @@
             // the request is proper.
             const bool isOwnResponse
                 = response->end == AttemptEnd::RejectedByPeer || response->end == AttemptEnd::NotDecided;
-            const bool mustBeUnknown = job.mayHaveRun && response->end == AttemptEnd::RejectedByPeer;
-            if (isOwnResponse && !mustBeUnknown && response->message.status >= 500)
+            const bool hasRun = (job.mayHaveRun || failed) && response->end == AttemptEnd::RejectedByPeer;
+            if (isOwnResponse && !hasRun && response->message.status >= 500)
                 co_return this->finish(job, Outcome { .response = response->message });
             break;
         }
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -226,6 +226,31 @@
         CHECK(fixture.server.requests.empty());
     }
 
+    SECTION("are not told that a request did not run after a server has run it")
+    {
+        ScriptedServer failing(fixture.context);
+        failing.script = [](const std::string& request) {
+            return ScriptedResponse { "HTTP/1.1 500 Error\r\nX-Id: " + idOf(request)
+                + "\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n" };
+        };
+        ServerEntry entry;
+        entry.id = "failing";
+        entry.service = "stock";
+        entry.address = { "127.0.0.1", failing.port() };
+        entry.zone = "a";
+        entry.slots = 4;
+        fixture.stranded.catalog->apply(entry, Clock::now());
+        // The servers that cannot be reached are the second choice.
+        for (const std::string id : { "s0", "s1", "s2", "s3" })
+            fixture.stranded.catalog->find(id)->inFlight = 3;
+        fixture.reaching.sessions->rejectsNewRequests = true;
+        fixture.stranded.forwarder->peers = [&] {
+            return std::vector<Peer> { fixture.reaching.asPeer("first"), fixture.reaching.asPeer("second") };
+        };
+        CHECK(contains(fixture.ask("r1", "/safe/1"), "HTTP/1.1 500"));
+        CHECK(failing.requests.size() == 1);
+    }
+
     SECTION("are not told 404 because the other instance does not know the route yet")
     {
         auto older = std::make_shared<Configuration>();
