Let the callers of case 2 send their request whole before they read

A client that reads the closing answer while it sends could stop sending. Most clients send the whole request first, and so do the callers now. The record shows the end of each run, too.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -66,14 +66,18 @@
         await caller.connect()
         await caller.send(f"first-{number}", "GET", "/lookup/first", HOST, 12000)
         begin_at = stop_at + FIRST_START_S + number * START_STEP_S
-        sending = asyncio.ensure_future(send_second(caller, f"second-{number}", begin_at))
+        # As usual for a client, the request is sent whole before the next answer is read.
+        try:
+            await send_second(caller, f"second-{number}", begin_at)
+        except ConnectionError as error:
+            record.write("sending_failed", id=f"second-{number}", why=type(error).__name__)
         await caller.receive(f"first-{number}", 13)
         status, _, _ = await caller.receive(f"second-{number}", 13)
-        await asyncio.gather(sending, return_exceptions=True)
         caller.close()
         return f"second-{number}", status
 
     results = await asyncio.gather(stop(), *(call(number) for number in range(CALLERS)))
+    await asyncio.sleep(2 * SECOND_WORK_S)  # Lets the runs end.
     ran = {request_id for _, request_id, *_ in backend.runs}
     lost = [request_id for request_id, status in results[1:] if status is None and request_id in ran]
     not_passed_on = [request_id for request_id, status in results[1:] if status is None and request_id not in ran]
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -272,6 +272,7 @@
                 self.running += 1
                 try:
                     await self.answer(writer, request_id, line, fields, body)
+                    self.record.write("run_ended", backend=self.identity, id=request_id)
                 finally:
                     self.running -= 1
         except (ConnectionError, BrokenMessage, asyncio.IncompleteReadError, asyncio.CancelledError) as error:
