Log and count retries, their budget, and notices of backend servers

Change: service_summary has the retries granted and denied and the part of the allowance; sends and retry decisions are counted. The notices (Server-Leaving, and Retry-After in a 503) are read in one place, logged and counted. Nothing acts on them yet.

Tests of forwarding, requests and adapter pass.

--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -63,6 +63,8 @@
     std::string region;
     bool isRemoved = false; ///< From the store; referenced only by requests in flight.
     bool isEvacuated = false;
+    bool isLeaving = false; ///< Stated by the server in a response; holds for its incarnation.
+    TimePoint pausedUntil {}; ///< The server wants no request of this instance before.
     TimePoint coldUntil {}; ///< According to the server's last report.
     /// The same, assumed without a report, which the server may not have written yet.
     TimePoint assumedColdUntil {};
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -251,15 +251,22 @@
     if (found != this->budgets.end())
         return found->second;
     const double ratio = this->settings.retryRatio * usedBudgetShare;
-    const double allowance = this->settings.retryAllowance * usedBudgetShare
-        / static_cast<double>(std::max<std::size_t>(1, this->instanceCount));
     const requests::RetryBudgetLimits limits {
         .firstAttemptsPerExtra = ratio > 0 ? static_cast<unsigned>(std::lround(1.0 / ratio)) : 0,
-        .allowance = static_cast<unsigned>(allowance),
+        .allowance = this->retryAllowance(),
     };
     return this->budgets.emplace(service, requests::RetryBudget(limits)).first->second;
 }
 
+bool Forwarder::takeRetry(const std::string& service)
+{
+    const bool isGranted = this->budgetOf(service).takeExtraAttempt(Clock::now());
+    this->counters.recordRetryDecision(service, isGranted);
+    RetryUse& use = this->retryUses[service];
+    ++(isGranted ? use.granted : use.denied);
+    return isGranted;
+}
+
 void Forwarder::setInstances(std::vector<std::string> senderCandidates, std::size_t zoneSize,
     std::map<std::string, std::size_t> liveCountByRegion)
 {
@@ -273,9 +280,15 @@
     if (count == this->instanceCount)
         return;
     this->instanceCount = count;
-    const double allowance = this->settings.retryAllowance * usedBudgetShare / static_cast<double>(count);
     for (auto& [service, budget] : this->budgets)
-        budget.setAllowance(static_cast<unsigned>(allowance));
+        budget.setAllowance(this->retryAllowance());
+}
+
+unsigned Forwarder::retryAllowance() const
+{
+    const double allowance = this->settings.retryAllowance * usedBudgetShare
+        / static_cast<double>(std::max<std::size_t>(1, this->instanceCount));
+    return static_cast<unsigned>(allowance);
 }
 
 bool Forwarder::isHeld(TimePoint now)
@@ -500,7 +513,7 @@
             continue;
         }
         if (this->shouldPassToPeer(job)) {
-            if (job.attemptsSent > 0 && !this->budgetOf(job.service).takeExtraAttempt(now)) {
+            if (job.attemptsSent > 0 && !this->takeRetry(job.service)) {
                 last = makeError(
                     ResultCode::NotRunRetryBudget, "the retry budget of service {} is exhausted", job.service);
                 break;
@@ -561,7 +574,7 @@
                     ResultCode::NotRunNoCapacity, "the rate limits of service {} leave no room in time", job.service);
             break;
         }
-        if (job.attemptsSent > 0 && !this->budgetOf(job.service).takeExtraAttempt(Clock::now())) {
+        if (job.attemptsSent > 0 && !this->takeRetry(job.service)) {
             if (!job.mayHaveRun)
                 last = makeError(
                     ResultCode::NotRunRetryBudget, "the retry budget of service {} is exhausted", job.service);
@@ -634,7 +647,7 @@
         server->lastColdSend = Clock::now();
     auto connection = this->connections.acquire(server, Clock::now());
     if (!connection) {
-        connection = std::make_shared<ServerConnection>(this->executor, server);
+        connection = this->createConnection(server);
         context->onCancel = [connection] { connection->close(); };
         const Duration left = job.deadline - Clock::now();
         const TimePoint connectStart = Clock::now();
@@ -665,6 +678,7 @@
             : expected.cacheAffinity == CacheAffinity::Home ? job.state->homePlacements
                                                             : job.state->uncachedPlacements);
     const TimePoint sentAt = Clock::now();
+    this->counters.recordSend(job.service, job.attemptsSent > 1);
     if (server->rateLimit.perSecond)
         ++server->sentWhileLimited;
     if (isCold(*server, sentAt))
@@ -886,6 +900,38 @@
     return now < job.permitUntil && *server.rateLimit.perSecond >= validLimitFraction * job.permittedRate;
 }
 
+std::shared_ptr<ServerConnection> Forwarder::createConnection(const ServerPointer& server)
+{
+    auto connection = std::make_shared<ServerConnection>(this->executor, server);
+    connection->onNotice = [weak = this->weak_from_this(), server](const ServerNotice& notice) {
+        if (const auto self = weak.lock())
+            self->applyNotice(*server, notice, Clock::now());
+    };
+    return connection;
+}
+
+void Forwarder::applyNotice(BackendServer& server, const ServerNotice& notice, TimePoint now)
+{
+    if (!notice.invalid.empty()) {
+        logWarning("server_notice_invalid", { { "server", server.entry.id }, { "value", notice.invalid } });
+    }
+    if (notice.isLeaving && !server.isLeaving) {
+        server.isLeaving = true;
+        this->counters.recordNotice(server.entry.service, "leaving");
+        logInfo("server_leaving",
+            { { "server", server.entry.id }, { "service", server.entry.service }, { "source", "response" },
+                { "in_flight", server.inFlight } });
+    }
+    if (notice.pause && now + *notice.pause > server.pausedUntil) {
+        server.pausedUntil = now + *notice.pause;
+        this->counters.recordNotice(server.entry.service, "pause");
+        logInfo("server_pause",
+            { { "server", server.entry.id }, { "service", server.entry.service },
+                { "ms", std::chrono::duration_cast<milliseconds>(*notice.pause).count() },
+                { "in_flight", server.inFlight } });
+    }
+}
+
 void Forwarder::onConnectFailure(const ServerPointer& server, TimePoint now)
 {
     // A server that restarts under its old id is cold before its entry in the store reports it.
@@ -1169,11 +1215,13 @@
             load += outstandingRequests(*server, now);
             slots += server->entry.slots;
         }
+        const RetryUse use = std::exchange(this->retryUses[name], {});
         logInfo("service_summary",
             { { "service", name }, { "waiting", queue.size() }, { "region_load", load }, { "region_slots", slots },
                 { "limited_servers", limitedServers }, { "limit_per_second", fmt::format("{:.1f}", limitPerSecond) },
                 { "sent_while_limited", sentWhileLimited }, { "cold_servers", coldServers },
-                { "sent_while_cold", sentWhileCold },
+                { "sent_while_cold", sentWhileCold }, { "retries", use.granted }, { "retries_denied", use.denied },
+                { "retry_allowance", this->retryAllowance() },
                 { "cold_sender_candidates", this->coldSenderCandidates.size() } });
     }
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -184,6 +184,9 @@
     /// Adopts a newer state of the server's limit and logs a change. Returns whether it changed.
     bool mergeServerLimit(const ServerPointer& server, const RateLimitState& limit, std::string_view source);
     PermitReply decidePermit(BackendServer& server, Duration maximumDelay, TimePoint now);
+    /// A new connection to \a server, which is not connected yet.
+    std::shared_ptr<ServerConnection> createConnection(const ServerPointer& server);
+    void applyNotice(BackendServer& server, const ServerNotice& notice, TimePoint now);
     void onConnectFailure(const ServerPointer& server, TimePoint now);
     /// Whether the next attempt of the request is made by another instance.
     bool shouldPassToPeer(const Job& job) const;
@@ -202,6 +205,10 @@
     Outcome finish(Job& job, Outcome outcome);
     Outcome reject(Job& job, const Error& error, Duration retryAfter);
     requests::RetryBudget& budgetOf(const std::string& service);
+    /// Takes one retry from the budget of the service. Returns false when none is left.
+    bool takeRetry(const std::string& service);
+    /// Retries of this instance in each budget window beyond the ratio, for each service.
+    unsigned retryAllowance() const;
 
     asio::any_io_executor executor;
     ForwarderSettings settings;
@@ -209,6 +216,11 @@
     std::shared_ptr<const Configuration> currentConfiguration;
     std::map<std::string, std::shared_ptr<RouteState>> routeStates; ///< By the route's name.
     std::map<std::string, requests::RetryBudget> budgets;
+    struct RetryUse {
+        unsigned granted = 0;
+        unsigned denied = 0;
+    };
+    std::map<std::string, RetryUse> retryUses; ///< By service, since the last summary line.
     std::map<std::string, RequestQueue> requestQueues; ///< By service.
     /// In-flight requests of the other instances of the zone, by instance and server.
     std::map<std::string, std::map<std::string, unsigned>> neighbourLoads;
--- a/src/libs/forwarding/forwardingmetrics.cpp
+++ b/src/libs/forwarding/forwardingmetrics.cpp
@@ -24,6 +24,13 @@
           "Finished requests by route, status and result code."))
     , attempts(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry, "clementinefall_attempts_total",
           "Sends to backend servers by service and end."))
+    , sends(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry, "clementinefall_sends_total",
+          "Requests written to backend servers, by service and whether it was the first time."))
+    , retries(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry, "clementinefall_retries_total",
+          "Decisions on retries by the retry budget, by service and result."))
+    , notices(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry,
+          "clementinefall_server_notices_total",
+          "Notices of backend servers that leave or ask for a pause, by service."))
     , placements(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry,
           "clementinefall_placements_total", "Placements by whether the server recently handled the object."))
     , permits(family<prometheus::Counter>(prometheus::BuildCounter(), *this->registry, "clementinefall_permits_total",
@@ -59,6 +66,32 @@
     counter->Increment();
 }
 
+void ForwardingMetrics::recordSend(const std::string& service, bool isRepeat)
+{
+    const char* kind = isRepeat ? "repeat" : "first";
+    auto& counter = this->counterCache[fmt::format("w/{}/{}", service, kind)];
+    if (counter == nullptr)
+        counter = &this->sends.Add({ { "service", service }, { "kind", kind } });
+    counter->Increment();
+}
+
+void ForwardingMetrics::recordRetryDecision(const std::string& service, bool isGranted)
+{
+    const char* result = isGranted ? "granted" : "denied";
+    auto& counter = this->counterCache[fmt::format("b/{}/{}", service, result)];
+    if (counter == nullptr)
+        counter = &this->retries.Add({ { "service", service }, { "result", result } });
+    counter->Increment();
+}
+
+void ForwardingMetrics::recordNotice(const std::string& service, const std::string& notice)
+{
+    auto& counter = this->counterCache[fmt::format("n/{}/{}", service, notice)];
+    if (counter == nullptr)
+        counter = &this->notices.Add({ { "service", service }, { "notice", notice } });
+    counter->Increment();
+}
+
 void ForwardingMetrics::recordPlacement(bool isCached)
 {
     auto& counter = this->counterCache[isCached ? "p/recent" : "p/fresh"];
--- a/src/libs/forwarding/forwardingmetrics.h
+++ b/src/libs/forwarding/forwardingmetrics.h
@@ -22,6 +22,12 @@
     /// Records a finished request; \a latency runs from the complete request to its response.
     void recordRequest(const std::string& route, ResultCode code, unsigned status, Duration latency);
     void recordServerAttempt(const std::string& service, const std::string& end);
+    /// Records a request that is sent to a backend server, or sent again.
+    void recordSend(const std::string& service, bool isRepeat);
+    /// Records whether the retry budget of the service allowed a retry.
+    void recordRetryDecision(const std::string& service, bool isGranted);
+    /// Records that a backend server asked for \a notice, "leaving" or "pause".
+    void recordNotice(const std::string& service, const std::string& notice);
     void recordPlacement(bool isCached);
     /// Records a request for a permit under the rate limit of a backend server.
     void recordPermit(const std::string& service, bool isGranted);
@@ -35,6 +41,9 @@
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Counter>& attempts;
+    prometheus::Family<prometheus::Counter>& sends;
+    prometheus::Family<prometheus::Counter>& retries;
+    prometheus::Family<prometheus::Counter>& notices;
     prometheus::Family<prometheus::Counter>& placements;
     prometheus::Family<prometheus::Counter>& permits;
     prometheus::Family<prometheus::Counter>& storeCalls;
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -294,6 +294,13 @@
         pending.isInvalid = true;
         result.detail = "the response body has a content encoding that was not requested";
     }
+    // A misdirected response is another server's, and one that names no request may be a copy of an earlier one.
+    const bool isFromServer = !result.isMisdirected && !(id.empty() && pending.isInvalid);
+    if (this->onNotice && isFromServer) {
+        const ServerNotice notice = readServerNotice(header, status, names);
+        if (!notice.isEmpty())
+            this->onNotice(notice);
+    }
     result.message.status = status;
     result.message.reason = std::string(header.reason());
     const auto options = header[http::Field::connection];
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwardedrequest.h"
+#include "forwarding/servernotice.h"
 #include "forwarding/servercatalog.h"
 #include "http/awaitable.h"
 #include "requests/retrybudget.h"
@@ -9,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +61,9 @@
     Awaitable<ServerResponse> exchange(std::shared_ptr<const ForwardedRequest> request, std::string head,
         const WireNames& names, TimePoint deadline, ResponseSink& sink);
 
+    /// Called as soon as the header of a response of the server has arrived, if it contains a notice.
+    std::function<void(const ServerNotice&)> onNotice;
+
     /// Closes the connection; a pending operation ends as cancelled.
     void close();
 
--- a/src/libs/forwarding/testwirenames.h
+++ b/src/libs/forwarding/testwirenames.h
@@ -14,6 +14,7 @@
         .notRun = "X-Not-Run",
         .serverLoad = "X-Load",
         .rateLimit = "X-Limit",
+        .serverLeaving = "X-Leaving",
         .affinityCookie = "object" };
 }
 
--- a/src/libs/forwarding/wirenames.h
+++ b/src/libs/forwarding/wirenames.h
@@ -14,6 +14,7 @@
     std::string notRun; ///< Set when a backend server did not run the request.
     std::string serverLoad; ///< Load of a backend server as `running,waiting,slots`.
     std::string rateLimit; ///< Requests per second that a backend server accepts from all entry instances together.
+    std::string serverLeaving; ///< Set to 1 in all responses of a backend server that stops soon.
     std::string affinityCookie; ///< Name of the cookie with the affinity key.
 };
 
