Divide the retry allowance among the registered instances instead of the live ones

Cause: each instance took the allowance divided by the number of instances that it heard of. Twelve that hear of none hold twelve whole shares; three zones, three. A process that started again held a new share at once, so a restart of all granted the allowance again. Both are the same class: a bound on a sum, kept from a state that differs between the processes.

The live view has no effect any more; without the store there is no part, or the one that was confirmed.

Ruled out: a coordinator that grants retries for a term (no retries in the outage that needs them), and the ratio alone (a service with less than one request a second at an instance would never be retried).

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -22,9 +22,8 @@
 /// Retry-After while the instance has no configuration.
 constexpr milliseconds startupRetryAfter { 500 };
 
-/// Share of the fleet's retry budget that is spent; the rest covers instances that have not
-/// seen a change in the number of instances yet.
-constexpr double usedBudgetShare = 0.5;
+/// Share of the fleet's retry ratio that is spent. Retries in a window may have been earned by the requests of two.
+constexpr double usedRatioShare = 0.5;
 
 /// Crashes of several servers within this time are attributed to a common cause instead of a request.
 constexpr milliseconds massCrashWindow { 1500 };
@@ -250,10 +249,10 @@
     const auto found = this->budgets.find(service);
     if (found != this->budgets.end())
         return found->second;
-    const double ratio = this->settings.retryRatio * usedBudgetShare;
+    const double ratio = this->settings.retryRatio * usedRatioShare;
     const requests::RetryBudgetLimits limits {
         .firstAttemptsPerExtra = ratio > 0 ? static_cast<unsigned>(std::lround(1.0 / ratio)) : 0,
-        .allowance = this->retryAllowance(),
+        .allowance = this->settings.retryAllowance,
     };
     return this->budgets.emplace(service, requests::RetryBudget(limits)).first->second;
 }
@@ -273,22 +272,13 @@
     this->zoneInstanceCount = std::max<std::size_t>(1, zoneSize);
     this->coldSenderCandidates = std::move(senderCandidates);
     this->instancesByRegion = std::move(liveCountByRegion);
-    std::size_t count = 0;
-    for (const auto& [region, live] : this->instancesByRegion)
-        count += live;
-    count = std::max<std::size_t>(1, count);
-    if (count == this->instanceCount)
-        return;
-    this->instanceCount = count;
-    for (auto& [service, budget] : this->budgets)
-        budget.setAllowance(this->retryAllowance());
 }
 
-unsigned Forwarder::retryAllowance() const
+void Forwarder::setRetryAllowance(unsigned allowance)
 {
-    const double allowance = this->settings.retryAllowance * usedBudgetShare
-        / static_cast<double>(std::max<std::size_t>(1, this->instanceCount));
-    return static_cast<unsigned>(allowance);
+    this->settings.retryAllowance = allowance;
+    for (auto& [service, budget] : this->budgets)
+        budget.setAllowance(allowance);
 }
 
 bool Forwarder::isHeld(TimePoint now)
@@ -1221,7 +1211,7 @@
                 { "limited_servers", limitedServers }, { "limit_per_second", fmt::format("{:.1f}", limitPerSecond) },
                 { "sent_while_limited", sentWhileLimited }, { "cold_servers", coldServers },
                 { "sent_while_cold", sentWhileCold }, { "retries", use.granted }, { "retries_denied", use.denied },
-                { "retry_allowance", this->retryAllowance() },
+                { "retry_allowance", this->settings.retryAllowance },
                 { "cold_sender_candidates", this->coldSenderCandidates.size() } });
     }
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -28,7 +28,8 @@
     WireNames names;
     PlacementParameters placement;
     double retryRatio = 0.2; ///< Retries per request to a service that the whole fleet may send.
-    double retryAllowance = 0; ///< Retries beyond that ratio in each budget window, for the whole fleet.
+    /// Retries of this instance beyond that ratio in each budget window, until setRetryAllowance() is called.
+    unsigned retryAllowance = 0;
     std::function<Duration()> sinceBoot = timeSinceBoot; ///< Clock that detects pauses of the process.
 };
 
@@ -81,11 +82,13 @@
     std::size_t activeRequests() const { return this->activeRequestContexts.size(); }
 
     /// Sets the entry instances: the names of those from which the senders to cold servers are chosen, none while they
-    /// are not known; the number of live ones in the local zone; and that in each region. The retry allowance is
-    /// divided by the number in all regions.
+    /// are not known; the number of live ones in the local zone; and that in each region.
     void setInstances(std::vector<std::string> senderCandidates, std::size_t zoneSize,
         std::map<std::string, std::size_t> liveCountByRegion);
 
+    /// Sets the retries of this instance beyond the ratio in each budget window, for each service.
+    void setRetryAllowance(unsigned allowance);
+
     /// Records the in-flight requests of an entry instance of the same zone at each backend server.
     void recordNeighbourLoad(
         const std::string& instance, const std::map<std::string, unsigned>& inFlight, TimePoint now);
@@ -207,8 +210,6 @@
     requests::RetryBudget& budgetOf(const std::string& service);
     /// Takes one retry from the budget of the service. Returns false when none is left.
     bool takeRetry(const std::string& service);
-    /// Retries of this instance in each budget window beyond the ratio, for each service.
-    unsigned retryAllowance() const;
 
     asio::any_io_executor executor;
     ForwarderSettings settings;
@@ -251,7 +252,6 @@
     std::string lastCrashServer;
     std::vector<std::string> coldSenderCandidates; ///< Names; only this instance before setInstances().
     std::map<std::string, std::size_t> instancesByRegion;
-    std::size_t instanceCount = 1;
     std::size_t zoneInstanceCount = 1;
     std::shared_ptr<PermitClient> permits;
     std::set<std::string> rateLimitedServers; ///< With a limit, or one that ended a short time ago.
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -85,6 +85,14 @@
     return result;
 }
 
+std::vector<std::string> InstanceTable::registeredNames() const
+{
+    std::vector<std::string> result { this->localInfo.name };
+    for (const auto& [name, entry] : this->registered)
+        result.push_back(name);
+    return result;
+}
+
 bool InstanceTable::isLive(const std::string& name, TimePoint now) const
 {
     const auto found = this->registered.find(name);
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -60,6 +60,11 @@
     /// The other ready instances that accept requests of others and reach backend servers.
     std::vector<Peer> peers(TimePoint now) const;
 
+    /// Names of all registered instances and of this one.
+    std::vector<std::string> registeredNames() const;
+    /// Whether the first list of instances has been received.
+    bool isListed() const { return this->hasList; }
+
     /// Empty for an instance that is not registered.
     std::string regionOf(const std::string& name) const;
 
