Count the sends of a request that passes through another instance once in the retry budget

What servers saw: requests of callers whose instance reaches no server could be repeated beyond the budget of the fleet.

And an instance that rejected a request was taken not to have sent it, though a server may have rejected it there; the second instance then sent it again without a permit.

Change: only the instance of the caller's connection counts the request. Responses between instances carry the number of servers tried (Clementine-Tried); without it, from an earlier release, all that were allowed count as tried.

Measured: tst_peerforwarding "do not earn the fleet more retries than other callers" (22 sends, 21 allowed) and "have their requests repeated within the budget only" (2 sends without a permit) failed with the forwarder as it was and pass now. Whether the users saw this is open: it needs an instance that reaches no server.

--- a/src/libs/forwarding/forwardedrequest.cpp
+++ b/src/libs/forwarding/forwardedrequest.cpp
@@ -181,6 +181,7 @@
 {
     CallerResponse response;
     response.code = error.code;
+    response.serversTried = 0;
     response.status = statusOf(error.code);
     if (!requestId.empty())
         response.fields.emplace_back(names.requestId, requestId);
--- a/src/libs/forwarding/forwardedrequest.h
+++ b/src/libs/forwarding/forwardedrequest.h
@@ -6,6 +6,7 @@
 #include "http/message.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -52,6 +53,7 @@
     std::string body;
     bool closesConnection = false;
     ResultCode code = ResultCode::Answered; ///< For logs and metrics.
+    std::optional<unsigned> serversTried; ///< Servers to which the request was sent, where this is known.
 };
 
 /// Encodes the header of a response with a body of \a bodyBytes; without a value the body is chunked.
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -480,7 +480,9 @@
             makeError(ResultCode::NotRunHeldBack, "the request is quarantined: copies of it crashed backend servers"),
             quarantineRetryAfter);
     }
-    this->budgetOf(job.service).recordFirstAttempt(Clock::now());
+    // A request that another instance passed on has earned retries there.
+    if (!job.request->serversAllowedByPeer)
+        this->budgetOf(job.service).recordFirstAttempt(Clock::now());
 
     Error last = makeError(ResultCode::NotRunNoServer, "no backend server of service {} is available", job.service);
     std::optional<ServerResponse> failed; ///< 5xx response of a server, passed on unless a retry succeeds.
@@ -1037,8 +1039,8 @@
         context->onCancel = {};
         job.exchanging += Clock::now() - sentAt;
         applyPeerOutcome(response);
-        if (response.end != AttemptEnd::RejectedByPeer)
-            job.attemptsSent += servers;
+        // Without the number, the other instance may have sent the request to all of them, also when it was rejected.
+        job.attemptsSent += response.message.serversTried.value_or(servers);
         job.attemptLog += fmt::format("{}:{} ", peer.name, attemptEndName(response.end));
         this->counters.recordServerAttempt(job.service, fmt::format("peer_{}", attemptEndName(response.end)));
         this->connections.release(endpoint, connection);
@@ -1081,6 +1083,7 @@
 
 Forwarder::Outcome Forwarder::finish(Job& job, Outcome outcome)
 {
+    outcome.response.serversTried = job.attemptsSent;
     const Duration took = Clock::now() - job.request->receivedAt;
     const std::string routeName = job.route == nullptr ? "none" : job.route->name;
     this->counters.recordRequest(routeName, outcome.response.code, outcome.response.status, took);
--- a/src/libs/forwarding/peerforwarding.cpp
+++ b/src/libs/forwarding/peerforwarding.cpp
@@ -18,8 +18,20 @@
 /// Name of the field with the number of servers that may be tried.
 constexpr std::string_view maximumServersField = "Clementine-Servers";
 
+/// Name of the field with the number of servers to which the request was sent. Earlier releases do not send it.
+constexpr std::string_view serversTriedField = "Clementine-Tried";
+
 constexpr unsigned maximumServersBound = 1000;
 
+std::optional<unsigned> parseServers(std::string_view text)
+{
+    unsigned servers = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), servers);
+    if (error != std::errc() || end != text.data() + text.size() || servers > maximumServersBound)
+        return std::nullopt;
+    return servers;
+}
+
 /// Inserts a field before all others of \a head: a caller or a server may have sent one with the same name.
 void prependField(std::string& head, std::string_view name, std::string_view value)
 {
@@ -34,6 +46,17 @@
     });
 }
 
+/// Removes the first field with that name and returns its value; empty when there is none.
+std::string takeField(std::vector<std::pair<std::string, std::string>>& fields, std::string_view name)
+{
+    const auto field = findField(fields, name);
+    if (field == fields.end())
+        return {};
+    std::string value = std::move(field->second);
+    fields.erase(field);
+    return value;
+}
+
 } // namespace
 
 std::optional<std::size_t> choosePeer(std::span<const Peer> peers, const std::string& localRegion,
@@ -73,12 +96,10 @@
     const auto field = findField(request.fields, maximumServersField);
     if (field == request.fields.end())
         return makeError(ResultCode::BadRequest, "the {} field is missing", maximumServersField);
-    const std::string& text = field->second;
-    unsigned servers = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), servers);
-    if (error != std::errc() || end != text.data() + text.size() || servers == 0 || servers > maximumServersBound)
+    const std::optional<unsigned> servers = parseServers(field->second);
+    if (!servers || *servers == 0)
         return makeError(ResultCode::BadRequest, "the {} field is not a number of servers", maximumServersField);
-    request.serversAllowedByPeer = servers;
+    request.serversAllowedByPeer = *servers;
     request.fields.erase(field);
     return okStatus();
 }
@@ -87,16 +108,17 @@
 {
     std::string head = encodeResponseHead(response, bodyBytes);
     prependField(head, http::HeaderName::outcome, outcomeName(outcomeOf(response.code)));
+    if (response.serversTried)
+        prependField(head, serversTriedField, std::to_string(*response.serversTried));
     return head;
 }
 
 Awaitable<bool> PeerResponseSink::begin(const CallerResponse& head, std::optional<std::size_t> length)
 {
-    CallerResponse withoutOutcome = head;
-    const auto field = findField(withoutOutcome.fields, http::HeaderName::outcome);
-    if (field != withoutOutcome.fields.end())
-        withoutOutcome.fields.erase(field);
-    co_return co_await this->sink.begin(withoutOutcome, length);
+    CallerResponse response = head;
+    takeField(response.fields, http::HeaderName::outcome);
+    takeField(response.fields, serversTriedField);
+    co_return co_await this->sink.begin(response, length);
 }
 
 void applyPeerOutcome(ServerResponse& response)
@@ -104,10 +126,8 @@
     if (response.end != AttemptEnd::Answered && response.end != AttemptEnd::ShedByServer)
         return;
     auto& fields = response.message.fields;
-    const auto field = findField(fields, http::HeaderName::outcome);
-    const std::string outcome = field == fields.end() ? std::string() : field->second;
-    if (field != fields.end())
-        fields.erase(field);
+    const std::string outcome = takeField(fields, http::HeaderName::outcome);
+    response.message.serversTried = parseServers(takeField(fields, serversTriedField));
     if (outcome == outcomeName(Outcome::Answered))
         response.end = AttemptEnd::Answered;
     else if (outcome == outcomeName(Outcome::NotRun))
--- a/src/libs/forwarding/peerforwarding.h
+++ b/src/libs/forwarding/peerforwarding.h
@@ -45,11 +45,11 @@
 /// Reads what encodePeerRequestHead() added, and removes it from the fields. Error: BadRequest.
 Status decodePeerRequest(ForwardedRequest& request);
 
-/// Encodes the header of a response for another instance, with its outcome: a status alone does not tell whether a
-/// server or the instance created it.
+/// Encodes the header of a response for another instance, with its outcome and the number of servers to which the
+/// request was sent: a status alone does not tell whether a server or the instance created it.
 std::string encodePeerResponseHead(const CallerResponse& response, std::optional<std::size_t> bodyBytes);
 
-/// Passes a streamed response of another instance to \a sink, without its outcome.
+/// Passes a streamed response of another instance to \a sink, without the fields of the instances.
 class PeerResponseSink : public ResponseSink {
 public:
     explicit PeerResponseSink(ResponseSink& callerSink)
@@ -64,8 +64,8 @@
     ResponseSink& sink;
 };
 
-/// Replaces the end of an attempt by the outcome that the other instance stated, and removes it from the fields. A
-/// response without an outcome decides nothing.
+/// Replaces the end of an attempt by the outcome that the other instance stated, reads the number of servers tried, and
+/// removes both from the fields. A response without an outcome decides nothing.
 void applyPeerOutcome(ServerResponse& response);
 
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -58,15 +58,8 @@
         service.coldRequestsPerSecond = 5;
         configuration->services["stock"] = service;
         this->forwarder->configure(configuration);
-        for (std::size_t i = 0; i < serverPorts.size(); ++i) {
-            ServerEntry entry;
-            entry.id = "s" + std::to_string(i);
-            entry.service = "stock";
-            entry.address = { "127.0.0.1", serverPorts[i] };
-            entry.zone = "a";
-            entry.slots = 4;
-            this->catalog->apply(entry, Clock::now());
-        }
+        for (std::size_t i = 0; i < serverPorts.size(); ++i)
+            this->addServer("s" + std::to_string(i), serverPorts[i]);
         this->sessions = std::make_shared<SessionContext>();
         this->sessions->forwarder = this->forwarder;
         this->sessions->names = testWireNames();
@@ -77,6 +70,17 @@
         REQUIRE(isOk(this->peerRequests->listen({ "127.0.0.1", 0 })));
     }
 
+    void addServer(const std::string& id, std::uint16_t port)
+    {
+        ServerEntry entry;
+        entry.id = id;
+        entry.service = "stock";
+        entry.address = { "127.0.0.1", port };
+        entry.zone = "a";
+        entry.slots = 4;
+        this->catalog->apply(entry, Clock::now());
+    }
+
     Peer asPeer(const std::string& name) const
     {
         return { name, "north", { "127.0.0.1", this->peerRequests->port() } };
@@ -226,6 +230,58 @@
         CHECK(fixture.server.requests.empty());
     }
 
+    SECTION("do not earn the fleet more retries than other callers")
+    {
+        ScriptedServer other(fixture.context);
+        fixture.reaching.addServer("other", other.port());
+        const auto respond
+            = [](const std::string& request) { return ScriptedResponse { responseBytes(idOf(request), "whole") }; };
+        const auto reset = [](const std::string&) { return ScriptedResponse { .bytes = "", .resets = true }; };
+        fixture.server.script = other.script = respond;
+        fixture.reaching.forwarder->setRetryAllowance(0);
+        for (int i = 0; i < 20; ++i)
+            fixture.ask("r" + std::to_string(i), "/safe/1");
+        fixture.server.script = other.script = reset;
+        const std::size_t before = fixture.server.requests.size() + other.requests.size();
+        CHECK(contains(fixture.ask("lost", "/safe/1"), "HTTP/1.1 502"));
+        CHECK(fixture.server.requests.size() + other.requests.size() == before + 1);
+    }
+
+    SECTION("have their requests repeated within the budget only, also when servers reject them")
+    {
+        fixture.server.script = [](const std::string& request) {
+            return ScriptedResponse { "HTTP/1.1 503 Busy\r\nX-Id: " + idOf(request)
+                + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" };
+        };
+        fixture.stranded.forwarder->peers = [&] {
+            return std::vector<Peer> { fixture.reaching.asPeer("first"), fixture.reaching.asPeer("second") };
+        };
+        fixture.stranded.forwarder->setRetryAllowance(0);
+        SECTION("none is left")
+        {
+            CHECK(contains(fixture.ask("r1", "/safe/1"), "HTTP/1.1 503"));
+            CHECK(fixture.server.requests.size() == 1);
+        }
+        SECTION("one is left")
+        {
+            fixture.stranded.forwarder->setRetryAllowance(1);
+            CHECK(contains(fixture.ask("r1", "/safe/1"), "HTTP/1.1 503"));
+            CHECK(fixture.server.requests.size() == 2);
+        }
+        SECTION("and requests that no server got are passed to a second instance without one")
+        {
+            Instance stopping(fixture.context, "stopping", {});
+            stopping.sessions->rejectsNewRequests = true;
+            fixture.server.script
+                = [](const std::string& request) { return ScriptedResponse { responseBytes(idOf(request), "whole") }; };
+            fixture.stranded.forwarder->peers = [&] {
+                return std::vector<Peer> { stopping.asPeer("first"), fixture.reaching.asPeer("second") };
+            };
+            for (int i = 0; i < 8; ++i)
+                CHECK(contains(fixture.ask("r" + std::to_string(i), "/safe/1"), "whole"));
+        }
+    }
+
     SECTION("are not told that a request did not run after a server has run it")
     {
         ScriptedServer failing(fixture.context);
