Count the windows of the retry budget on the clock that includes suspensions

What servers would see: after a suspension of the machine, repeats that were earned by requests of a minute before, on top of those of the window.

Change: the budget uses the clock that the pause detector uses, and limits are rounded down.

Measured: tst_callersession "does not spend retries that requests before a suspension of the machine have earned" failed before (33 sends, 32 allowed) and passes; tst_retrybudget covers the rounding. Whether the users saw this is open: their machines may not have been suspended.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -249,17 +249,14 @@
     const auto found = this->budgets.find(service);
     if (found != this->budgets.end())
         return found->second;
-    const double ratio = this->settings.retryRatio * usedRatioShare;
-    const requests::RetryBudgetLimits limits {
-        .firstAttemptsPerExtra = ratio > 0 ? static_cast<unsigned>(std::lround(1.0 / ratio)) : 0,
-        .allowance = this->settings.retryAllowance,
-    };
+    const requests::RetryBudgetLimits limits
+        = requests::retryBudgetLimits(this->settings.retryRatio * usedRatioShare, this->settings.retryAllowance);
     return this->budgets.emplace(service, requests::RetryBudget(limits)).first->second;
 }
 
 bool Forwarder::takeRetry(const std::string& service)
 {
-    const bool isGranted = this->budgetOf(service).takeExtraAttempt(Clock::now());
+    const bool isGranted = this->budgetOf(service).takeExtraAttempt(this->budgetTime());
     this->counters.recordRetryDecision(service, isGranted);
     RetryUse& use = this->retryUses[service];
     ++(isGranted ? use.granted : use.denied);
@@ -482,7 +479,7 @@
     }
     // A request that another instance passed on has earned retries there.
     if (!job.request->serversAllowedByPeer)
-        this->budgetOf(job.service).recordFirstAttempt(Clock::now());
+        this->budgetOf(job.service).recordFirstAttempt(this->budgetTime());
 
     Error last = makeError(ResultCode::NotRunNoServer, "no backend server of service {} is available", job.service);
     std::optional<ServerResponse> failed; ///< 5xx response of a server, passed on unless a retry succeeds.
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -30,7 +30,7 @@
     double retryRatio = 0.2; ///< Retries per request to a service that the whole fleet may send.
     /// Retries of this instance beyond that ratio in each budget window, until setRetryAllowance() is called.
     unsigned retryAllowance = 0;
-    std::function<Duration()> sinceBoot = timeSinceBoot; ///< Clock that detects pauses of the process.
+    std::function<Duration()> sinceBoot = timeSinceBoot; ///< Clock that includes the suspension of the machine.
 };
 
 /// A request that is being forwarded, shared by the caller's session and the Forwarder.
@@ -208,6 +208,8 @@
     Outcome finish(Job& job, Outcome outcome);
     Outcome reject(Job& job, const Error& error, Duration retryAfter);
     requests::RetryBudget& budgetOf(const std::string& service);
+    /// Time of the retry budgets. Unlike the steady clock, it goes on while the machine is suspended.
+    TimePoint budgetTime() const { return TimePoint { this->settings.sinceBoot() }; }
     /// Takes one retry from the budget of the service. Returns false when none is left.
     bool takeRetry(const std::string& service);
 
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -625,6 +625,24 @@
         CHECK(fixture.first.requests.empty());
         CHECK(fixture.second.requests.size() == 1);
     }
+    SECTION("does not spend retries that requests before a suspension of the machine have earned")
+    {
+        fixture.forwarder->setRetryAllowance(0);
+        fixture.addServer("s2", fixture.second.port());
+        fixture.sinceBoot = seconds(10000);
+        fixture.forwarder->tick(Clock::now());
+        for (int i = 0; i < 30; ++i)
+            fixture.exchange(requestBytes("r" + std::to_string(i), "/safe/1"), "whole");
+        const std::size_t before = fixture.first.requests.size() + fixture.second.requests.size();
+        fixture.sinceBoot += seconds(60);
+        fixture.forwarder->tick(Clock::now());
+        fixture.forwarder->confirmKnowledge();
+        fixture.first.script = fixture.second.script
+            = [](const std::string&) { return ScriptedResponse { .bytes = "", .resets = true }; };
+        CHECK(fixture.exchange(requestBytes("lost", "/safe/1"), "\r\n\r\n").find("HTTP/1.1 502") == 0);
+        CHECK(fixture.first.requests.size() + fixture.second.requests.size() == before + 1);
+    }
+
     SECTION("goes on with what it knows when the store is away")
     {
         CHECK(fixture.receive(socket, "whole").starts_with("HTTP/1.1 200"));
--- a/src/libs/requests/retrybudget.cpp
+++ b/src/libs/requests/retrybudget.cpp
@@ -1,6 +1,7 @@
 #include "requests/retrybudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace clementinefall::requests {
 
@@ -10,6 +11,15 @@
 
 } // namespace
 
+RetryBudgetLimits retryBudgetLimits(double ratio, unsigned allowance)
+{
+    // Keeps a ratio such as 0.1 from becoming one in eleven.
+    constexpr double roundingError = 1e-9;
+    constexpr double fewestPerExtra = 1e9;
+    const double perExtra = ratio > 0 ? std::min(std::ceil(1.0 / ratio - roundingError), fewestPerExtra) : 0;
+    return { .firstAttemptsPerExtra = static_cast<unsigned>(perExtra), .allowance = allowance };
+}
+
 void RetryBudget::recordFirstAttempt(TimePoint now)
 {
     this->advance(now);
--- a/src/libs/requests/retrybudget.h
+++ b/src/libs/requests/retrybudget.h
@@ -15,6 +15,9 @@
     unsigned allowance = 0; ///< Additional extra attempts per window, independent of first attempts.
 };
 
+/// Limits for \a ratio extra attempts per first attempt, rounded down, and \a allowance.
+RetryBudgetLimits retryBudgetLimits(double ratio, unsigned allowance);
+
 /// Limits extra attempts (retries and hedges) to a fraction, usually a tenth, of the first attempts in the 10 s before
 /// each extra attempt. Counts are kept per step of 100 ms. A step that lies only partly in the window counts for extra
 /// attempts but not for first ones, so that rounding never grants too many.
--- a/src/libs/requests/tst_retrybudget.cpp
+++ b/src/libs/requests/tst_retrybudget.cpp
@@ -68,6 +68,17 @@
         CHECK(granted * 12 >= firstTotal);
     }
 
+    SECTION("a ratio that is no fraction of one is rounded down")
+    {
+        CHECK(retryBudgetLimits(0.1, 3).firstAttemptsPerExtra == 10);
+        CHECK(retryBudgetLimits(0.135, 3).firstAttemptsPerExtra == 8);
+        CHECK(retryBudgetLimits(0.15, 3).firstAttemptsPerExtra == 7);
+        CHECK(retryBudgetLimits(1, 3).firstAttemptsPerExtra == 1);
+        CHECK(retryBudgetLimits(1e-300, 3).firstAttemptsPerExtra == 1000000000);
+        CHECK(retryBudgetLimits(0, 3).firstAttemptsPerExtra == 0);
+        CHECK(retryBudgetLimits(0, 3).allowance == 3);
+    }
+
     SECTION("first attempts outside the window allow no extra attempts")
     {
         RetryBudget budget;
