Send nothing more to a backend server that says in a response that it leaves

Cause: only the store's word counted. An instance that the store turned away did not know that a server drains, although the server said so in each response that passed. A permission to send was kept beyond what gave it.

Change: the notice takes the server out of use as soon as the header of a response arrives, for its incarnation, whatever the store says later. It survives an outage in which the entry is lost, and an entry with another zone or service; so does draining in the store, which such an entry undid before. It ends with a new incarnation. Requests that are connecting are checked again before they are sent. Another instance that answers for a stranded one names the server that leaves (Clementine-Leaving).

Ruled out: a 421 of another server at the address, a response that names no request on a connection in use, and values other than 1 (logged).

--- a/src/libs/forwarding/backendserver.cpp
+++ b/src/libs/forwarding/backendserver.cpp
@@ -46,7 +46,7 @@
 
 bool isUsable(const BackendServer& server)
 {
-    return !server.isRemoved && !server.isEvacuated && server.entry.state == ServerState::Ready;
+    return !server.isRemoved && !server.isEvacuated && !server.isLeaving && server.entry.state == ServerState::Ready;
 }
 
 double outstandingRequests(const BackendServer& server, TimePoint now)
--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -95,7 +95,7 @@
     TimePoint lastColdSend {}; ///< Last request sent while the server was cold, for the rate limit.
 };
 
-/// Whether the server is ready and neither removed nor evacuated.
+/// Whether the server is ready and neither removed, evacuated nor leaving.
 bool isUsable(const BackendServer& server);
 
 inline bool isCold(const BackendServer& server, TimePoint now)
--- a/src/libs/forwarding/forwardedrequest.h
+++ b/src/libs/forwarding/forwardedrequest.h
@@ -45,6 +45,12 @@
 std::string encodeRequestHead(
     const ForwardedRequest& request, const WireNames& names, std::string_view expectedServer, Duration timeLeft);
 
+/// Incarnation of a backend server that has said that it leaves.
+struct LeavingServer {
+    std::string id;
+    std::uint64_t startTimeMs = 0; ///< See ServerEntry::startTimeMs.
+};
+
 /// Response to a caller, from a backend server or created by this instance.
 struct CallerResponse {
     unsigned status = 0;
@@ -53,6 +59,7 @@
     std::string body;
     bool closesConnection = false;
     ResultCode code = ResultCode::Answered; ///< For logs and metrics.
+    std::optional<LeavingServer> leavingServer; ///< The server that created it, if it leaves; for other instances.
     std::optional<unsigned> serversTried; ///< Servers to which the request was sent, where this is known.
 };
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -169,6 +169,8 @@
     std::vector<ServerPointer> servers; ///< Candidates of the last placement; its result is a position in this list.
     /// Retry-After from the last placement that found no server. The default is about one processing time.
     Duration retryAfter = milliseconds(250);
+    ServerPointer lastServer; ///< To which the request was sent last.
+    std::optional<LeavingServer> leavingServer; ///< Reported by another instance.
     std::string attemptLog; ///< `server:end` of each attempt.
     Duration queued {}; ///< Total time in the queue.
     Duration connecting {}; ///< Total time for connects.
@@ -644,8 +646,10 @@
         job.connecting += Clock::now() - connectStart;
         context->onCancel = {};
         // The server may have become unusable or cold during the connect.
-        const bool isStillEligible = isUsable(*server) && (wasCold || !isCold(*server, Clock::now()))
-            && !this->isHeld(Clock::now()) && isPermitValid(job, *server, Clock::now());
+        const TimePoint connectedAt = Clock::now();
+        const bool isStillEligible = isUsable(*server)
+            && (wasCold || !isCold(*server, connectedAt)) && !this->isHeld(connectedAt)
+            && isPermitValid(job, *server, connectedAt);
         if (!connected || context->isCancelled || context->isAborted || !isStillEligible) {
             connection->close();
             --server->inFlight;
@@ -659,6 +663,7 @@
         this->onServerConnected();
     }
     ++job.attemptsSent;
+    job.lastServer = server;
     if (const auto spill = this->spills.find(job.service); spill != this->spills.end() && !job.spillRegion.empty())
         recordSpillUse(spill->second, job.spillRegion, server->region == job.spillRegion);
     const bool isCached = expected.cacheAffinity == CacheAffinity::Cached;
@@ -877,8 +882,8 @@
     // The server may have become unusable or cold during the wait, or have got another request while cold.
     const TimePoint now = Clock::now();
     co_return !context->isCancelled && !context->isAborted && now < job.deadline && isUsable(*server)
-        && now >= server->backoffUntil && this->mayUseCold(*server, now) && !this->isHeld(now)
-        && isPermitValid(job, *server, now);
+        && now >= server->backoffUntil
+        && this->mayUseCold(*server, now) && !this->isHeld(now) && isPermitValid(job, *server, now);
 }
 
 bool Forwarder::isPermitValid(const Job& job, const BackendServer& server, TimePoint now)
@@ -894,33 +899,38 @@
     auto connection = std::make_shared<ServerConnection>(this->executor, server);
     connection->onNotice = [weak = this->weak_from_this(), server](const ServerNotice& notice) {
         if (const auto self = weak.lock())
-            self->applyNotice(*server, notice, Clock::now());
+            self->applyNotice(server, notice, Clock::now());
     };
     return connection;
 }
 
-void Forwarder::applyNotice(BackendServer& server, const ServerNotice& notice, TimePoint now)
+void Forwarder::applyNotice(const ServerPointer& server, const ServerNotice& notice, TimePoint now)
 {
     if (!notice.invalid.empty()) {
-        logWarning("server_notice_invalid", { { "server", server.entry.id }, { "value", notice.invalid } });
+        logWarning("server_notice_invalid", { { "server", server->entry.id }, { "value", notice.invalid } });
     }
-    if (notice.isLeaving && !server.isLeaving) {
-        server.isLeaving = true;
-        this->counters.recordNotice(server.entry.service, "leaving");
-        logInfo("server_leaving",
-            { { "server", server.entry.id }, { "service", server.entry.service }, { "source", "response" },
-                { "in_flight", server.inFlight } });
+    if (notice.isLeaving && !server->isLeaving) {
+        server->isLeaving = true;
+        this->onServerLeaving(*server, "response");
     }
-    if (notice.pause && now + *notice.pause > server.pausedUntil) {
-        server.pausedUntil = now + *notice.pause;
-        this->counters.recordNotice(server.entry.service, "pause");
+    if (notice.pause && now + *notice.pause > server->pausedUntil) {
+        server->pausedUntil = now + *notice.pause;
+        this->counters.recordNotice(server->entry.service, "pause");
         logInfo("server_pause",
-            { { "server", server.entry.id }, { "service", server.entry.service },
+            { { "server", server->entry.id }, { "service", server->entry.service },
                 { "ms", std::chrono::duration_cast<milliseconds>(*notice.pause).count() },
-                { "in_flight", server.inFlight } });
+                { "in_flight", server->inFlight } });
     }
 }
 
+void Forwarder::onServerLeaving(const BackendServer& server, std::string_view source)
+{
+    this->counters.recordNotice(server.entry.service, "leaving");
+    logInfo("server_leaving",
+        { { "server", server.entry.id }, { "service", server.entry.service }, { "source", source },
+            { "in_flight", server.inFlight } });
+}
+
 void Forwarder::onConnectFailure(const ServerPointer& server, TimePoint now)
 {
     // A server that restarts under its old id is cold before its entry in the store reports it.
@@ -1036,6 +1046,13 @@
         context->onCancel = {};
         job.exchanging += Clock::now() - sentAt;
         applyPeerOutcome(response);
+        if (response.wasStreamed)
+            response.message.leavingServer = sink.leavingServer();
+        if (const auto& leaving = response.message.leavingServer) {
+            job.leavingServer = leaving;
+            if (this->catalog->markLeaving(leaving->id, leaving->startTimeMs))
+                this->onServerLeaving(*this->catalog->find(leaving->id), "instance");
+        }
         // Without the number, the other instance may have sent the request to all of them, also when it was rejected.
         job.attemptsSent += response.message.serversTried.value_or(servers);
         job.attemptLog += fmt::format("{}:{} ", peer.name, attemptEndName(response.end));
@@ -1081,6 +1098,9 @@
 Forwarder::Outcome Forwarder::finish(Job& job, Outcome outcome)
 {
     outcome.response.serversTried = job.attemptsSent;
+    outcome.response.leavingServer = job.leavingServer;
+    if (job.lastServer && job.lastServer->isLeaving)
+        outcome.response.leavingServer = { job.lastServer->entry.id, job.lastServer->entry.startTimeMs };
     const Duration took = Clock::now() - job.request->receivedAt;
     const std::string routeName = job.route == nullptr ? "none" : job.route->name;
     this->counters.recordRequest(routeName, outcome.response.code, outcome.response.status, took);
--- a/src/libs/forwarding/peerforwarding.cpp
+++ b/src/libs/forwarding/peerforwarding.cpp
@@ -21,6 +21,9 @@
 /// Name of the field with the number of servers to which the request was sent. Earlier releases do not send it.
 constexpr std::string_view serversTriedField = "Clementine-Tried";
 
+/// Name of the field with the incarnation of the server that created the response, if it leaves: its id and start time.
+constexpr std::string_view leavingServerField = "Clementine-Leaving";
+
 constexpr unsigned maximumServersBound = 1000;
 
 std::optional<unsigned> parseServers(std::string_view text)
@@ -46,6 +49,18 @@
     });
 }
 
+std::optional<LeavingServer> parseLeavingServer(std::string_view text)
+{
+    const std::size_t space = text.find(' ');
+    if (space == std::string_view::npos || space == 0)
+        return std::nullopt;
+    LeavingServer server { std::string(text.substr(0, space)), 0 };
+    const auto [end, error] = std::from_chars(text.data() + space + 1, text.data() + text.size(), server.startTimeMs);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return server;
+}
+
 /// Removes the first field with that name and returns its value; empty when there is none.
 std::string takeField(std::vector<std::pair<std::string, std::string>>& fields, std::string_view name)
 {
@@ -110,6 +125,9 @@
     prependField(head, http::HeaderName::outcome, outcomeName(outcomeOf(response.code)));
     if (response.serversTried)
         prependField(head, serversTriedField, std::to_string(*response.serversTried));
+    if (response.leavingServer)
+        prependField(head, leavingServerField,
+            fmt::format("{} {}", response.leavingServer->id, response.leavingServer->startTimeMs));
     return head;
 }
 
@@ -118,6 +136,7 @@
     CallerResponse response = head;
     takeField(response.fields, http::HeaderName::outcome);
     takeField(response.fields, serversTriedField);
+    this->leaving = parseLeavingServer(takeField(response.fields, leavingServerField));
     co_return co_await this->sink.begin(response, length);
 }
 
@@ -128,6 +147,7 @@
     auto& fields = response.message.fields;
     const std::string outcome = takeField(fields, http::HeaderName::outcome);
     response.message.serversTried = parseServers(takeField(fields, serversTriedField));
+    response.message.leavingServer = parseLeavingServer(takeField(fields, leavingServerField));
     if (outcome == outcomeName(Outcome::Answered))
         response.end = AttemptEnd::Answered;
     else if (outcome == outcomeName(Outcome::NotRun))
--- a/src/libs/forwarding/peerforwarding.h
+++ b/src/libs/forwarding/peerforwarding.h
@@ -45,8 +45,9 @@
 /// Reads what encodePeerRequestHead() added, and removes it from the fields. Error: BadRequest.
 Status decodePeerRequest(ForwardedRequest& request);
 
-/// Encodes the header of a response for another instance, with its outcome and the number of servers to which the
-/// request was sent: a status alone does not tell whether a server or the instance created it.
+/// Encodes the header of a response for another instance, with its outcome, the number of servers to which the request
+/// was sent, and the server that created it if that leaves: a status alone does not tell whether a server or the
+/// instance created it.
 std::string encodePeerResponseHead(const CallerResponse& response, std::optional<std::size_t> bodyBytes);
 
 /// Passes a streamed response of another instance to \a sink, without the fields of the instances.
@@ -58,14 +59,17 @@
     }
 
     Awaitable<bool> begin(const CallerResponse& head, std::optional<std::size_t> length) override;
+    /// The server that created the response, if it leaves.
+    const std::optional<LeavingServer>& leavingServer() const { return this->leaving; }
     Awaitable<bool> write(std::string_view chunk) override { return this->sink.write(chunk); }
 
 private:
     ResponseSink& sink;
+    std::optional<LeavingServer> leaving;
 };
 
-/// Replaces the end of an attempt by the outcome that the other instance stated, reads the number of servers tried, and
-/// removes both from the fields. A response without an outcome decides nothing.
+/// Replaces the end of an attempt by the outcome that the other instance stated, reads what else it stated, and removes
+/// these fields. A response without an outcome decides nothing.
 void applyPeerOutcome(ServerResponse& response);
 
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -29,9 +29,9 @@
     if (found == this->servers.end()) {
         const auto removed = this->removedServers.find(entry.id);
         if (removed != this->removedServers.end()) {
-            const RemovedServer& last = removed->second;
+            const auto lastReport = reportOf(removed->second.server->entry);
             // A missing server may be running and write the entry that was lost once more.
-            if (reportOf(entry) < reportOf(last.entry) || (!last.wasMissing && reportOf(entry) == reportOf(last.entry)))
+            if (reportOf(entry) < lastReport || (!removed->second.wasMissing && reportOf(entry) == lastReport))
                 return false;
         }
         this->insert(entry, now);
@@ -73,7 +73,15 @@
                                                          : Locality::OtherRegion;
     server->isEvacuated = this->evacuatedZones.contains(entry.zone);
     server->coldUntil = now + entry.remainingColdTime;
-    this->removedServers.erase(entry.id);
+    const auto removed = this->removedServers.find(entry.id);
+    if (removed != this->removedServers.end()) {
+        const BackendServer& before = *removed->second.server;
+        if (before.entry.startTimeMs == entry.startTimeMs) {
+            server->entry.state = before.entry.state == ServerState::Draining ? ServerState::Draining : entry.state;
+            server->isLeaving = before.isLeaving;
+        }
+        this->removedServers.erase(removed);
+    }
     this->servers[entry.id] = server;
     this->byService[entry.service].push_back(server);
 }
@@ -94,7 +102,7 @@
         return;
     const ServerPointer server = found->second;
     this->servers.erase(found);
-    this->removedServers[id] = { .entry = server->entry, .removedAt = now };
+    this->removedServers[id] = { .server = server, .removedAt = now };
     this->detach(server);
 }
 
@@ -133,6 +141,15 @@
     return expired;
 }
 
+bool ServerCatalog::markLeaving(const std::string& id, std::uint64_t startTimeMs)
+{
+    const ServerPointer server = this->find(id);
+    if (!server || server->entry.startTimeMs != startTimeMs || server->isLeaving)
+        return false;
+    server->isLeaving = true;
+    return true;
+}
+
 void ServerCatalog::forgetRemoved(TimePoint now)
 {
     std::erase_if(this->removedServers,
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -64,6 +64,9 @@
     /// shorten the time: they may have been written earlier.
     void setEvacuations(std::set<std::string> zones, TimePoint now);
 
+    /// Records that an incarnation has said that it leaves. Returns false when it is not known or this was known.
+    bool markLeaving(const std::string& id, std::uint64_t startTimeMs);
+
     const std::set<std::string>& evacuations() const { return this->evacuatedZones; }
 
     /// Servers of a service, including unusable ones; empty for an unknown service.
@@ -80,10 +83,11 @@
 
 private:
     struct RemovedServer {
-        ServerEntry entry; ///< The last one.
+        ServerPointer server; ///< With its last entry.
         TimePoint removedAt {};
         bool wasMissing = false; ///< After an outage; its removal was not seen.
     };
+    /// Adds a server. It keeps what its incarnation has stated for all of its life, if the server was known before.
     void insert(const ServerEntry& entry, TimePoint now);
     void detach(const ServerPointer& server);
     Duration coldTimeOf(const std::string& service) const;
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -300,6 +300,8 @@
         const ServerNotice notice = readServerNotice(header, status, names);
         if (!notice.isEmpty())
             this->onNotice(notice);
+        if (this->server->isLeaving)
+            result.message.leavingServer = { this->server->entry.id, this->server->entry.startTimeMs };
     }
     result.message.status = status;
     result.message.reason = std::string(header.reason());
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -427,6 +427,80 @@
     }
 }
 
+TEST_CASE("A backend server that asks for less")
+{
+    Fixture fixture;
+    fixture.addServer("s2", fixture.second.port());
+    std::string notice;
+    const auto answering = [&notice](const std::string& request) {
+        return ScriptedResponse { responseBytes(idOf(request), "whole", "X-Seal: s\r\n" + notice) };
+    };
+    const auto requestsAfter = [&fixture](ScriptedServer& server, int count) {
+        const std::size_t before = server.requests.size();
+        for (int i = 0; i < count; ++i)
+            fixture.exchange(requestBytes("n" + std::to_string(i), "/once/" + std::to_string(i)), "\r\n\r\n");
+        return server.requests.size() - before;
+    };
+
+    SECTION("gets no further request after it has said that it leaves")
+    {
+        fixture.first.script = answering;
+        notice = "X-Leaving: 1\r\n";
+        REQUIRE(requestsAfter(fixture.first, 4) == 1);
+        CHECK(requestsAfter(fixture.first, 10) == 0);
+
+        SECTION("also when the store has it as ready still")
+        {
+            ServerEntry entry = fixture.catalog->find("s1")->entry;
+            entry.sequence = 100;
+            CHECK(fixture.catalog->apply(entry, Clock::now()));
+            CHECK(requestsAfter(fixture.first, 10) == 0);
+        }
+        SECTION("until a new incarnation has its id")
+        {
+            ServerEntry entry = fixture.catalog->find("s1")->entry;
+            ++entry.startTimeMs;
+            CHECK(fixture.catalog->apply(entry, Clock::now()));
+            notice.clear();
+            CHECK(requestsAfter(fixture.first, 10) > 0);
+        }
+    }
+
+    SECTION("gets no further request after a rejection that says that it leaves")
+    {
+        fixture.catalog->remove("s2", Clock::now());
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { "HTTP/1.1 503 Busy\r\nX-Id: " + idOf(request)
+                + "\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n" };
+        };
+        CHECK(requestsAfter(fixture.first, 10) == 1);
+    }
+
+    SECTION("is not taken for leaving because another server at its address is")
+    {
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { "HTTP/1.1 421 Other\r\nX-Id: " + idOf(request)
+                + "\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n" };
+        };
+        requestsAfter(fixture.first, 4);
+        CHECK_FALSE(fixture.catalog->find("s1")->isLeaving);
+    }
+
+    SECTION("gets no request that was connecting to it when it said that it leaves")
+    {
+        fixture.first.script = answering;
+        notice = "X-Leaving: 1\r\n";
+        const auto callers
+            = std::array { fixture.open(requestBytes("a", "/once/1")), fixture.open(requestBytes("b", "/once/2")),
+                  fixture.open(requestBytes("c", "/once/3")), fixture.open(requestBytes("d", "/once/4")) };
+        for (const auto& caller : callers)
+            CHECK(fixture.receive(caller, "whole").starts_with("HTTP/1.1 200"));
+        const std::size_t atOnce = fixture.first.requests.size();
+        CHECK(requestsAfter(fixture.first, 10) == 0);
+        CHECK(atOnce <= 4);
+    }
+}
+
 TEST_CASE("Downloads")
 {
     Fixture fixture;
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -247,6 +247,23 @@
         CHECK(fixture.server.requests.size() + other.requests.size() == before + 1);
     }
 
+    SECTION("teach their instance which servers leave")
+    {
+        std::size_t bodyBytes = 10;
+        fixture.server.script = [&](const std::string& request) {
+            return ScriptedResponse { responseBytes(
+                idOf(request), std::string(bodyBytes, 'x'), "X-Seal: s\r\nX-Leaving: 1\r\n") };
+        };
+        SECTION("in a response") { }
+        SECTION("in a streamed response") { bodyBytes = 400000; }
+        const std::string response = fixture.ask("r1", "/file/1");
+        CHECK(contains(response, "X-Leaving: 1\r\n"));
+        CHECK_FALSE(contains(response, "Clementine-"));
+        CHECK(fixture.stranded.catalog->find("s0")->isLeaving);
+        CHECK(fixture.reaching.catalog->find("s0")->isLeaving);
+        CHECK_FALSE(fixture.stranded.catalog->find("s1")->isLeaving);
+    }
+
     SECTION("have their requests repeated within the budget only, also when servers reject them")
     {
         fixture.server.script = [](const std::string& request) {
@@ -420,6 +437,20 @@
         CHECK(serversForPeer(1) == 1);
     }
 
+    SECTION("what another instance states wrongly is left out")
+    {
+        for (const std::string text : { "", "s1", " 5", "s1 ", "s1 x", "s1 5 6", "s1 99999999999999999999" }) {
+            ServerResponse response;
+            response.end = AttemptEnd::Answered;
+            response.message.fields = { { "Clementine-Outcome", "answered" }, { "Clementine-Leaving", text },
+                { "Clementine-Tried", text } };
+            applyPeerOutcome(response);
+            CHECK_FALSE(response.message.leavingServer);
+            CHECK_FALSE(response.message.serversTried);
+            CHECK(response.message.fields.empty());
+        }
+    }
+
     SECTION("a response without an outcome decides nothing, whatever its status")
     {
         ServerResponse response;
--- a/src/libs/forwarding/tst_servercatalog.cpp
+++ b/src/libs/forwarding/tst_servercatalog.cpp
@@ -48,6 +48,34 @@
         CHECK_FALSE(isUsable(*server));
     }
 
+    SECTION("a draining incarnation stays unused although an entry has it in another zone, and as ready")
+    {
+        ServerEntry draining = entryOf("s1", 10, 6);
+        draining.state = ServerState::Draining;
+        catalog.apply(draining, start);
+        ServerEntry moved = entryOf("s1", 10, 7);
+        moved.zone = "south-a";
+        catalog.apply(moved, start);
+        CHECK_FALSE(isUsable(*catalog.find("s1")));
+    }
+
+    SECTION("a server that leaves by its own word stays unused although its entry is lost in an outage and comes back")
+    {
+        server->isLeaving = true;
+        catalog.replaceAll({}, true, start);
+        catalog.expireMissing(start + seconds(3));
+        REQUIRE(catalog.find("s1") == nullptr);
+        catalog.apply(entryOf("s1", 10, 6), start + seconds(4));
+        REQUIRE(catalog.find("s1") != nullptr);
+        CHECK_FALSE(isUsable(*catalog.find("s1")));
+
+        SECTION("until it starts again")
+        {
+            catalog.apply(entryOf("s1", 20, 1), start + seconds(5));
+            CHECK(isUsable(*catalog.find("s1")));
+        }
+    }
+
     SECTION("a server restarted under its old id starts without state, although its sequence is lower")
     {
         server->inFlight = 3;
