Keep the pause that a backend server asks for when it rejects a request

Cause: the field was passed on to callers, and read nowhere.

Change: the server is left out of placements, permits, queue estimates and sends after a connect until the pause ends, for this instance alone. A successful connect does not end it, unlike the backoff. When all servers that may run a request ask for a pause, it is rejected at once; Retry-After is the time until the first pause ends, plus the usual time with jitter, so that callers do not return together.

Measured: tst_callersession "gets no request in the pause that it asks for with a rejection": one request of ten arrives.

--- a/src/libs/forwarding/backendserver.cpp
+++ b/src/libs/forwarding/backendserver.cpp
@@ -49,6 +49,11 @@
     return !server.isRemoved && !server.isEvacuated && !server.isLeaving && server.entry.state == ServerState::Ready;
 }
 
+bool mayReceive(const BackendServer& server, TimePoint now)
+{
+    return isUsable(server) && now >= server.backoffUntil && now >= server.pausedUntil;
+}
+
 double outstandingRequests(const BackendServer& server, TimePoint now)
 {
     unsigned others = 0;
--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -98,6 +98,9 @@
 /// Whether the server is ready and neither removed, evacuated nor leaving.
 bool isUsable(const BackendServer& server);
 
+/// Whether the server is usable and requests may be sent to it now: there is no backoff, and it has asked for no pause.
+bool mayReceive(const BackendServer& server, TimePoint now);
+
 inline bool isCold(const BackendServer& server, TimePoint now)
 {
     return now < server.coldUntil || now < server.assumedColdUntil;
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -169,6 +169,7 @@
     std::vector<ServerPointer> servers; ///< Candidates of the last placement; its result is a position in this list.
     /// Retry-After from the last placement that found no server. The default is about one processing time.
     Duration retryAfter = milliseconds(250);
+    Duration pauseLeft {}; ///< See Placement::pauseLeft.
     ServerPointer lastServer; ///< To which the request was sent last.
     std::optional<LeavingServer> leavingServer; ///< Reported by another instance.
     std::string attemptLog; ///< `server:end` of each attempt.
@@ -380,7 +381,7 @@
         .arrival = queue.nextArrival() };
     double slots = 0;
     for (const ServerPointer& server : job.servers) {
-        if (isUsable(*server) && server->locality != Locality::OtherRegion && now >= server->backoffUntil)
+        if (mayReceive(*server, now) && server->locality != Locality::OtherRegion)
             slots += slotsWithinRateLimit(server->rateLimit, server->entry.slots, job.state->processingTime.cached);
     }
     // The queued requests of the other instances of the zone compete for the same slots.
@@ -541,6 +542,7 @@
         const Placement placement = this->placeRequest(job, now);
         if (!placement.server) {
             job.retryAfter = placement.retryAfter;
+            job.pauseLeft = placement.pauseLeft;
             if (job.mayHaveRun || failed)
                 break;
             if (job.attemptsSent == 0 && !this->rejectsWaiting && co_await this->waitForCapacity(job))
@@ -613,7 +615,7 @@
     if (job.mayHaveRun && outcomeOf(last.code) == clementinefall::Outcome::NotRun)
         last = makeError(
             ResultCode::UnknownConnectionLost, "an earlier attempt may have run; last failure: {}", last.message);
-    co_return this->reject(job, last, this->withJitter(job.retryAfter));
+    co_return this->reject(job, last, job.pauseLeft + this->withJitter(job.retryAfter));
 }
 
 bool Forwarder::shouldRetry(const Job& job, const ServerResponse& response, TimePoint now)
@@ -645,9 +647,9 @@
         const bool connected = co_await connection->connect(std::min(connectTimeout(*server), left));
         job.connecting += Clock::now() - connectStart;
         context->onCancel = {};
-        // The server may have become unusable or cold during the connect.
+        // The server may have become unusable or cold during the connect, or have asked for a pause.
         const TimePoint connectedAt = Clock::now();
-        const bool isStillEligible = isUsable(*server)
+        const bool isStillEligible = isUsable(*server) && connectedAt >= server->pausedUntil
             && (wasCold || !isCold(*server, connectedAt)) && !this->isHeld(connectedAt)
             && isPermitValid(job, *server, connectedAt);
         if (!connected || context->isCancelled || context->isAborted || !isStillEligible) {
@@ -881,8 +883,7 @@
     }
     // The server may have become unusable or cold during the wait, or have got another request while cold.
     const TimePoint now = Clock::now();
-    co_return !context->isCancelled && !context->isAborted && now < job.deadline && isUsable(*server)
-        && now >= server->backoffUntil
+    co_return !context->isCancelled && !context->isAborted && now < job.deadline && mayReceive(*server, now)
         && this->mayUseCold(*server, now) && !this->isHeld(now) && isPermitValid(job, *server, now);
 }
 
@@ -915,6 +916,7 @@
     }
     if (notice.pause && now + *notice.pause > server->pausedUntil) {
         server->pausedUntil = now + *notice.pause;
+        this->pausedServers.insert(server);
         this->counters.recordNotice(server->entry.service, "pause");
         logInfo("server_pause",
             { { "server", server->entry.id }, { "service", server->entry.service },
@@ -1175,6 +1177,12 @@
             this->recordNeighbourLoad(instance, {}, reportedAt);
     }
     this->connections.closeExpired(now);
+    std::erase_if(this->pausedServers, [now](const ServerPointer& server) {
+        if (now < server->pausedUntil)
+            return false;
+        logInfo("server_pause_ended", { { "server", server->entry.id }, { "service", server->entry.service } });
+        return true;
+    });
     this->reachability->verifyIfDue(now);
     this->requestQuarantine.expire(now);
     if (this->currentConfiguration)
@@ -1246,7 +1254,7 @@
         for (const auto& [region, live] : this->instancesByRegion)
             regions[region].instances = live;
         for (const ServerPointer& server : this->catalog->serversOf(name)) {
-            if (!isUsable(*server) || now < server->backoffUntil || isCold(*server, now))
+            if (!mayReceive(*server, now) || isCold(*server, now))
                 continue;
             if (server->locality != Locality::OtherRegion)
                 localLoad += outstandingRequests(*server, now);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -248,6 +248,7 @@
     /// Assumed cold times before failed connects, by server. The failures may be those of this instance's own links.
     std::map<ServerPointer, TimePoint> coldTimesBeforeFailure;
     std::set<std::shared_ptr<ServerConnection>> repeatableExchanges; ///< In progress, of idempotent requests.
+    std::set<ServerPointer> pausedServers; ///< Until the end of the pause is logged.
     std::map<std::string, ServerPointer> peerEndpoints; ///< By the name of the instance.
     requests::Quarantine requestQuarantine;
     requests::InFlightTracker tracker;
--- a/src/libs/forwarding/placement.cpp
+++ b/src/libs/forwarding/placement.cpp
@@ -203,7 +203,7 @@
         return ExclusionReason::Unusable;
     if (server.locality == Locality::OtherRegion && !request.allowsOtherRegions)
         return ExclusionReason::OtherRegion;
-    if (now < server.backoffUntil || isUnresponsive(server, now))
+    if (!mayReceive(server, now) || isUnresponsive(server, now))
         return ExclusionReason::Suspect;
     if (isCold(server, now) && !mayUseCold)
         return ExclusionReason::ColdLimit;
@@ -263,6 +263,17 @@
     return home;
 }
 
+/// Time until the first of the servers takes requests again, if all that may run the request have asked for a pause.
+Duration shortestPause(std::span<const BackendServer* const> servers, const PlacementRequest& request, TimePoint now)
+{
+    TimePoint earliest = TimePoint::max();
+    for (const BackendServer* server : servers) {
+        if (isUsable(*server) && (server->locality != Locality::OtherRegion || request.allowsOtherRegions))
+            earliest = std::min(earliest, server->pausedUntil);
+    }
+    return earliest == TimePoint::max() || earliest <= now ? Duration {} : earliest - now;
+}
+
 Duration retryAfterOverload(const ProcessingTimeEstimate& processingTime)
 {
     return std::clamp<Duration>(processingTime.cached, minimumRetryAfter, maximumRetryAfter);
@@ -292,8 +303,10 @@
             best.estimate = candidate;
         }
     }
-    if (!best.server)
+    if (!best.server) {
         best.retryAfter = retryAfterOverload(request.processingTime);
+        best.pauseLeft = shortestPause(servers, request, now);
+    }
     return best;
 }
 
--- a/src/libs/forwarding/placement.h
+++ b/src/libs/forwarding/placement.h
@@ -121,6 +121,8 @@
     std::optional<std::size_t> server; ///< Index in the list of servers.
     CompletionEstimate estimate;
     Duration retryAfter {}; ///< Without a server: time until one is likely to have capacity.
+    /// Without a server: time until the first one takes requests again, if all of them have asked for a pause.
+    Duration pauseLeft {};
     bool wouldMissDeadline = false; ///< A server had capacity, but could not respond before the deadline.
 };
 
--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -79,6 +79,7 @@
         if (before.entry.startTimeMs == entry.startTimeMs) {
             server->entry.state = before.entry.state == ServerState::Draining ? ServerState::Draining : entry.state;
             server->isLeaving = before.isLeaving;
+            server->pausedUntil = before.pausedUntil;
         }
         this->removedServers.erase(removed);
     }
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -499,6 +499,46 @@
         CHECK(requestsAfter(fixture.first, 10) == 0);
         CHECK(atOnce <= 4);
     }
+
+    SECTION("gets no request in the pause that it asks for with a rejection")
+    {
+        fixture.catalog->remove("s2", Clock::now());
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { "HTTP/1.1 503 Busy\r\nX-Id: " + idOf(request)
+                + "\r\nX-Not-Run: 1\r\nRetry-After: 0.6\r\nContent-Length: 0\r\n\r\n" };
+        };
+        const TimePoint before = Clock::now();
+        CHECK(requestsAfter(fixture.first, 10) == 1);
+
+        SECTION("while requests that no other server can take are rejected at once, with the time until its end")
+        {
+            const std::string response = fixture.exchange(requestBytes("r1", "/once/1"), "\r\n\r\n");
+            const Duration elapsed = Clock::now() - before;
+            CHECK(response.starts_with("HTTP/1.1 503"));
+            CHECK(elapsed < milliseconds(300));
+            const std::size_t at = response.find("Retry-After: ");
+            REQUIRE(at != std::string::npos);
+            const double retryAfter = std::stod(response.substr(at + 13));
+            CHECK(retryAfter + std::chrono::duration<double>(elapsed).count() >= 0.6);
+            CHECK(retryAfter < 3);
+        }
+
+        SECTION("and gets them again after it")
+        {
+            const TimePoint end = Clock::now() + milliseconds(700);
+            fixture.first.script = answering;
+            while (Clock::now() < end)
+                fixture.context.run_one_for(milliseconds(20));
+            CHECK(requestsAfter(fixture.first, 10) == 10);
+        }
+
+        SECTION("also when a connection to it was just being established")
+        {
+            CHECK(fixture.catalog->find("s1")->pausedUntil > Clock::now());
+            recordConnect(*fixture.catalog->find("s1"), true, milliseconds(1), Clock::now());
+            CHECK(requestsAfter(fixture.first, 10) == 0);
+        }
+    }
 }
 
 TEST_CASE("Downloads")
