Take no request in a stop that cannot be answered before its end

Cause: requests were taken for 0.4 of the grace period, however long that is. With 10 s they were taken for 4 s and cut at 8.6 s, also when their server usually needs 6.4 s. With 6 s the rest of the time hid it.

Change: the schedule of a stop is a decision of its own (stopschedule). They are rejected as not run with a short Retry-After, so another instance serves them at once.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "forwarding/peerforwarding.h"
+#include "forwarding/stopschedule.h"
 #include "http/syntaxerror.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -350,7 +351,7 @@
     StreamingSink sink(self, queued);
     queued->requestContext->sink = &sink;
     Forwarder::Outcome outcome;
-    if (this->context->rejectsNewRequests) {
+    if (this->isTooLate(*queued->requestContext)) {
         outcome.response = responseForError(makeError(ResultCode::NotRunStopping, "the instance is stopping"),
             request.id, this->context->names, stoppingRetryAfter);
     } else {
@@ -387,6 +388,15 @@
     }
 }
 
+bool CallerSession::isTooLate(const RequestContext& requestContext) const
+{
+    if (this->context->rejectsNewRequests)
+        return true;
+    const std::optional<TimePoint>& answerAllAt = this->context->answerAllAt;
+    return answerAllAt
+        && !canAnswerBefore(*answerAllAt, this->context->forwarder->usualProcessingTime(requestContext), Clock::now());
+}
+
 void CallerSession::finishRequest(const std::shared_ptr<QueuedRequest>& queued)
 {
     const auto found = std::find(this->queue.begin(), this->queue.end(), queued);
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 
 namespace clementinefall::forwarding {
 
@@ -45,6 +46,8 @@
     BodyMemoryBudget bodyMemory { 64ULL * 1024 * 1024 };
     bool isStopping = false; ///< Connections are closed after the last queued response.
     bool rejectsNewRequests = false; ///< New requests are rejected as not run.
+    /// Set during a stop: requests that would take longer are rejected as not run.
+    std::optional<TimePoint> answerAllAt;
     std::size_t inProgress = 0; ///< Requests that were received and have no response yet.
 };
 
@@ -92,6 +95,8 @@
     Awaitable<void> reject(const Error& error, std::shared_ptr<const ForwardedRequest> request);
     /// Reads and discards input until the connection ends.
     Awaitable<void> discardInput();
+    /// Whether the instance stops before the request could be answered, or takes no requests any more.
+    bool isTooLate(const RequestContext& requestContext) const;
     void finishRequest(const std::shared_ptr<QueuedRequest>& queued);
     void cancelRequests();
     void armWatchdog(TimePoint deadline);
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -424,6 +424,15 @@
     context.route = findRoute(*context.configuration, context.request->host, context.request->target);
 }
 
+Duration Forwarder::usualProcessingTime(const RequestContext& context) const
+{
+    if (context.route == nullptr)
+        return {};
+    const auto state = this->routeStates.find(context.route->name);
+    return state != this->routeStates.end() ? state->second->processingTime.uncached
+                                            : initialProcessingTimeEstimate(context.route->targetLatency).uncached;
+}
+
 void Forwarder::rejectWaiting()
 {
     this->rejectsWaiting = true;
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -73,6 +73,9 @@
     /// Finds the route of the request unless that was done already for the current configuration.
     void resolve(RequestContext& context) const;
 
+    /// Time that a server usually takes for the request if it has nothing cached; zero without a route.
+    Duration usualProcessingTime(const RequestContext& context) const;
+
     /// Rejects the queued requests during a stop; later requests are not queued.
     void rejectWaiting();
     /// Aborts all active requests at the end of a stop. Otherwise responses that are ready would stay queued behind
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -917,6 +917,16 @@
         CHECK(fixture.first.requests.empty());
     }
 
+    SECTION("rejects a request that it could not answer before the process ends, and takes a shorter one")
+    {
+        fixture.sessions->isStopping = true;
+        fixture.sessions->answerAllAt = Clock::now() + milliseconds(100);
+        CHECK(fixture.exchange(requestBytes("r1", "/once/1"), "\r\n\r\n").starts_with("HTTP/1.1 503"));
+        CHECK(fixture.first.requests.empty());
+        fixture.sessions->answerAllAt = Clock::now() + seconds(30);
+        CHECK(fixture.exchange(requestBytes("r2", "/once/2"), "whole").starts_with("HTTP/1.1 200"));
+    }
+
     SECTION("delivers a ready response although the response before it on the connection never arrives")
     {
         fixture.first.script = [](const std::string& request) {
