Let an announced length cost its own request only

Cause: the library's string body reserves the announced length before it reads, and nothing caught the exception of that.

Change: bodies grow with the bytes that arrive (http::GrowingBody), in answers of servers and requests of callers. An exception in an exchange with a server ends that exchange; one while a request is served closes the caller's connection; any other is logged and the process goes on. The HTTP library for control interfaces reads into fixed buffers and needs no change.

The test was not run on the old code, where it ends the test program.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -6,11 +6,9 @@
 #include "http/syntaxerror.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 
@@ -278,7 +276,11 @@
     ++this->context->inProgress;
     if (!queued->keepAlive)
         this->willClose = true;
-    asio::co_spawn(this->socket.get_executor(), this->serve(queued), asio::detached);
+    const auto onEnd = [self = this->shared_from_this(), queued](const std::exception_ptr& error) {
+        if (error)
+            self->abandon(queued, error);
+    };
+    asio::co_spawn(this->socket.get_executor(), this->serve(queued), onEnd);
     if (this->willClose) {
         // Further requests are ignored; reading only detects that the caller closes the connection.
         co_await this->discardInput();
@@ -388,6 +390,17 @@
     }
 }
 
+void CallerSession::abandon(const std::shared_ptr<QueuedRequest>& queued, const std::exception_ptr& error)
+{
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& exception) {
+        logError("request_abandoned", { { "id", queued->requestContext->request->id }, { "why", exception.what() } });
+    }
+    this->close();
+    this->finishRequest(queued);
+}
+
 bool CallerSession::isTooLate(const RequestContext& requestContext) const
 {
     if (this->context->rejectsNewRequests)
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "forwarding/forwarder.h"
+#include "http/growingbody.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <deque>
+#include <exception>
 #include <memory>
 #include <optional>
 
@@ -76,7 +77,7 @@
     class StreamingSink;
     struct QueuedRequest;
 
-    using Parser = beast::http::request_parser<beast::http::string_body>;
+    using Parser = beast::http::request_parser<http::GrowingBody>;
 
     /// Receives one request and starts to serve it. Returns false when no further one can follow.
     Awaitable<bool> receive();
@@ -95,6 +96,8 @@
     Awaitable<void> reject(const Error& error, std::shared_ptr<const ForwardedRequest> request);
     /// Reads and discards input until the connection ends.
     Awaitable<void> discardInput();
+    /// Closes the connection after an exception while the request was served.
+    void abandon(const std::shared_ptr<QueuedRequest>& queued, const std::exception_ptr& error);
     /// Whether the instance stops before the request could be answered, or takes no requests any more.
     bool isTooLate(const RequestContext& requestContext) const;
     void finishRequest(const std::shared_ptr<QueuedRequest>& queued);
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -411,9 +411,10 @@
 {
     const auto self = this->shared_from_this();
     this->activeRequestContexts.insert(context.get());
-    Outcome outcome = co_await this->processRequest(context);
-    this->activeRequestContexts.erase(context.get());
-    co_return outcome;
+    const auto removeContext = [self](RequestContext* active) { self->activeRequestContexts.erase(active); };
+    // Also when an exception ends the request.
+    const std::unique_ptr<RequestContext, decltype(removeContext)> active(context.get(), removeContext);
+    co_return co_await this->processRequest(context);
 }
 
 void Forwarder::resolve(RequestContext& context) const
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/serverconnection.h"
 
 #include "base/log.h"
+#include "http/growingbody.h"
 #include "http/sockets.h"
 #include "http/syntaxerror.h"
 
@@ -9,7 +10,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -97,7 +97,7 @@
 }
 
 struct ServerConnection::PendingResponse {
-    using Parser = beast::http::response_parser<beast::http::string_body>;
+    using Parser = beast::http::response_parser<http::GrowingBody>;
 
     std::shared_ptr<const ForwardedRequest> request;
     std::optional<Parser> parser;
@@ -185,13 +185,29 @@
     const WireNames& names, TimePoint deadline, ResponseSink& sink)
 {
     const auto self = this->shared_from_this();
+    PendingResponse pending;
+    pending.request = request;
+    pending.streamingDeadline = deadline + maximumStreamingOverrun;
+    try {
+        co_return co_await this->sendAndReceive(pending, std::move(head), names, deadline, sink);
+    } catch (const std::exception& error) {
+        // Costs this request and connection only, also when the memory is used up.
+        logError("exchange_failed", { { "server", this->server->entry.id }, { "why", error.what() } });
+        pending.isInvalid = true;
+        pending.result.detail = error.what();
+    }
+    co_return this->failure(pending, {});
+}
+
+Awaitable<ServerResponse> ServerConnection::sendAndReceive(
+    PendingResponse& pending, std::string head, const WireNames& names, TimePoint deadline, ResponseSink& sink)
+{
+    const auto self = this->shared_from_this();
+    const std::shared_ptr<const ForwardedRequest> request = pending.request;
     this->reusable = false;
     this->isRequestWritten = false;
     this->armWatchdog(deadline);
     this->requestSentAt = Clock::now();
-    PendingResponse pending;
-    pending.request = request;
-    pending.streamingDeadline = deadline + maximumStreamingOverrun;
 
     const bool writesBodyWithHeader = request->body.size() <= maximumBytesWithHeader;
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::const_buffer {} };
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -76,6 +76,8 @@
 private:
     struct PendingResponse;
 
+    Awaitable<ServerResponse> sendAndReceive(
+        PendingResponse& pending, std::string head, const WireNames& names, TimePoint deadline, ResponseSink& sink);
     void armWatchdog(TimePoint deadline);
     Awaitable<void> writeBody(std::shared_ptr<const ForwardedRequest> request);
     /// Reads the body. Returns false when it is incomplete or the sink failed.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -628,6 +628,47 @@
     }
 }
 
+TEST_CASE("A length that nobody can mean costs its own request only")
+{
+    Fixture fixture;
+
+    SECTION("in the response of a backend server")
+    {
+        std::string length;
+        SECTION("beyond any memory") { length = "4000000000000000000"; }
+        SECTION("the largest number") { length = "18446744073709551615"; }
+        SECTION("beyond this machine's memory") { length = "1000000000000"; }
+        SECTION("no number") { length = "18446744073709551616"; }
+        fixture.first.script = [&length](const std::string& request) {
+            return ScriptedResponse { .bytes = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request)
+                    + "\r\nX-Seal: s\r\nContent-Length: " + length + "\r\n\r\nabc",
+                .closes = true };
+        };
+        CHECK(fixture.exchange(requestBytes("r1", "/once/1"), "\r\n\r\n").starts_with("HTTP/1.1 502"));
+    }
+
+    SECTION("in a chunk of a response")
+    {
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { .bytes = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request)
+                    + "\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nabc",
+                .closes = true };
+        };
+        CHECK(fixture.exchange(requestBytes("r1", "/once/1"), "\r\n\r\n").starts_with("HTTP/1.1 502"));
+    }
+
+    SECTION("in a request")
+    {
+        const std::string head = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nContent-Length: ";
+        CHECK(fixture.exchange(head + "4000000000000000000\r\n\r\n", "\r\n\r\n").starts_with("HTTP/1.1 413"));
+        CHECK(fixture.first.requests.empty());
+    }
+
+    fixture.first.script
+        = [](const std::string& request) { return ScriptedResponse { responseBytes(idOf(request), "whole") }; };
+    CHECK(fixture.exchange(requestBytes("r2", "/once/2"), "whole").starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("Bytes without end from a caller are rejected within the limits")
 {
     Fixture fixture;
