Answer in a stop what is being received, and long responses that are ready

Cause: an answer closed the connection when no other request was queued, though one may be half received. The end of a stop aborted all requests without an outcome, also those whose response only waits for its turn.

Change: an answer does not close the connection while a request is being received, and a request whose body ends after a closing answer is dropped unsent. Responses that are being streamed are left to end by themselves until the process does.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -72,6 +72,7 @@
 
     Awaitable<bool> begin(const CallerResponse& head, std::optional<std::size_t> length) override
     {
+        this->queued->requestContext->isStreaming = true;
         if (!co_await this->session->awaitTurn(this->queued))
             co_return false;
         this->isChunked = !length;
@@ -268,6 +269,12 @@
             co_return false;
         }
     }
+    if (this->willClose) {
+        // A response that announced the close left while the body was arriving, so the caller repeats this request.
+        this->context->bodyMemory.release(queued->reservedBytes);
+        this->close();
+        co_return false;
+    }
     this->watchdog.cancel();
     this->isReading = false;
     request->body = std::move(parser.get().body());
@@ -373,7 +380,9 @@
         this->finishRequest(queued);
         co_return;
     }
-    const bool closes = !queued->keepAlive || (this->context->isStopping && this->queue.size() == 1);
+    // A request that is being received is answered, too, and closes the connection then.
+    const bool isLast = this->queue.size() == 1 && !this->isReading;
+    const bool closes = !queued->keepAlive || (this->context->isStopping && isLast);
     outcome.response.closesConnection = closes;
     if (closes)
         this->willClose = true;
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -195,6 +195,8 @@
 
 void RequestContext::abort()
 {
+    if (this->isStreaming)
+        return;
     this->isAborted = true;
     this->interrupt();
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -39,13 +39,15 @@
     ResponseSink* sink = nullptr; ///< Receives a streamed response.
     bool isCancelled = false; ///< The caller closed the connection.
     bool isAborted = false; ///< The instance is stopping and no longer waits for the response.
+    bool isStreaming = false; ///< The response is being streamed, or waits for its turn on the caller's connection.
     std::shared_ptr<const Configuration> configuration; ///< Set by Forwarder::resolve().
     const Route* route = nullptr; ///< In `configuration`; null when no route matches.
     std::function<void()> onCancel; ///< Set while a pending operation can be interrupted.
 
     /// Interrupts the pending operation after the caller closed the connection.
     void cancel();
-    /// Interrupts the pending operation. The outcome of the request is unknown, or not run if nothing was sent.
+    /// Interrupts the pending operation, unless a response is being streamed, which may end by itself until the process
+    /// does. The outcome of the request is unknown, or not run if nothing was sent.
     void abort();
 
 private:
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -983,6 +983,44 @@
         CHECK(text.find("body-r2") != std::string::npos);
     }
 
+    SECTION("delivers a long response that its server has sent whole, behind one that never arrives")
+    {
+        const std::string body(400000, 'x');
+        fixture.first.script = [&body](const std::string& request) {
+            const std::string id = idOf(request);
+            return ScriptedResponse { .bytes = responseBytes(id, body), .isHeld = id == "r1" };
+        };
+        auto caller = fixture.open(requestBytes("r1", "/safe/1") + requestBytes("r2", "/safe/2"));
+        fixture.runUntil([&] { return fixture.first.requests.size() == 2; });
+        const TimePoint arrivedAt = Clock::now() + milliseconds(300);
+        fixture.runUntil([&] { return Clock::now() >= arrivedAt; });
+        fixture.forwarder->abortAll();
+        const std::string text = fixture.receive(caller, body);
+        CHECK(text.starts_with("HTTP/1.1 504"));
+        CHECK(text.ends_with(body));
+    }
+
+    SECTION("answers a request whose body is arriving while the response before it leaves")
+    {
+        fixture.first.script = [](const std::string& request) {
+            const std::string id = idOf(request);
+            return ScriptedResponse { .bytes = responseBytes(id, "body-" + id), .isHeld = id == "r1" };
+        };
+        const std::string second = requestBytes("r2", "/once/2", "POST");
+        auto caller = fixture.open(requestBytes("r1", "/safe/1") + second.substr(0, second.size() - 1));
+        fixture.runUntil([&] { return fixture.first.requests.size() == 1; });
+        fixture.sessions->isStopping = true;
+        fixture.first.release();
+        fixture.runUntil([&] { return fixture.sessions->inProgress == 0; });
+        asio::write(*caller, asio::buffer(second.substr(second.size() - 1)));
+        const std::string text = fixture.receive(caller, "body-r2");
+        REQUIRE(text.find("body-r1") != std::string::npos);
+        REQUIRE(text.find("body-r2") != std::string::npos);
+        CHECK(text.find("Connection: close") > text.find("body-r1"));
+        CHECK(text.find("Connection: close") < text.find("body-r2"));
+        CHECK(fixture.first.requests.size() == 2);
+    }
+
     SECTION("rejects queued requests as not run")
     {
         fixture.first.script = [](const std::string&) { return ScriptedResponse { .bytes = "", .isHeld = true }; };
