Reject requests whose transfer coding is not chunked alone

Cause: the library takes such a request for one without a body, and leaves the check to its user (RFC 9112 section 6.3).

Change: any coding but chunked alone, twice, quoted, or in HTTP/1.0, gets 400 and the connection is closed. A response with another coding is invalid.

--- a/src/libs/forwarding/forwardedrequest.cpp
+++ b/src/libs/forwarding/forwardedrequest.cpp
@@ -57,6 +57,12 @@
 
 } // namespace
 
+bool isChunkedAlone(const beast::http::fields& header)
+{
+    const auto coding = header[http::Field::transfer_encoding];
+    return equalsIgnoringCase(trimmed({ coding.data(), coding.size() }), "chunked");
+}
+
 bool isHopByHopField(std::string_view name, std::string_view connectionOptions)
 {
     for (const std::string_view field : { "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
@@ -95,6 +101,13 @@
         return makeError(ResultCode::BadRequest, "HTTP version {} is not supported", header.version());
     if (request.target.empty() || request.target.front() != '/')
         return makeError(ResultCode::BadRequest, "the request target must be an absolute path");
+    // Without a final chunked coding, the length of the body is not known (RFC 9112 section 6.3). No other coding is
+    // supported, and HTTP/1.0 has none (section 6.1).
+    const std::size_t codings = header.count(http::Field::transfer_encoding);
+    if (codings > 1 || (codings == 1 && (header.version() != 11 || !isChunkedAlone(header))))
+        return makeError(ResultCode::BadRequest, "the transfer coding is not chunked alone");
+    if (codings > 0 && header.count(http::Field::content_length) > 0)
+        return makeError(ResultCode::BadRequest, "the request has a length and a transfer coding");
     if (header.count(http::Field::host) != 1)
         return makeError(ResultCode::BadRequest, "the request must have exactly one Host field");
     request.host = std::string(header[http::Field::host]);
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -306,6 +306,9 @@
     } else if (status / 100 == 2 && (!result.hasSeal || isNotRun)) {
         pending.isInvalid = true;
         result.detail = "the success response is not sealed by the server or claims that the request did not run";
+    } else if (header.count(http::Field::transfer_encoding) > 0 && !isChunkedAlone(header)) {
+        pending.isInvalid = true;
+        result.detail = "the response has a transfer coding other than chunked";
     } else if (header.count(http::Field::content_encoding) > 0) {
         pending.isInvalid = true;
         result.detail = "the response body has a content encoding that was not requested";
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -875,6 +875,27 @@
                   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
         status = "400";
     }
+    SECTION("a transfer coding that does not end in chunked, RFC 9112 section 6.3")
+    {
+        std::string coding;
+        SECTION("gzip") { coding = "gzip"; }
+        SECTION("identity") { coding = "identity"; }
+        SECTION("chunked before another one") { coding = "chunked, identity"; }
+        SECTION("chunked twice") { coding = "chunked, chunked"; }
+        SECTION("quoted") { coding = "\"chunked\""; }
+        SECTION("with a parameter") { coding = "chunked;q=1"; }
+        SECTION("in two fields") { coding = "identity\r\nTransfer-Encoding: chunked"; }
+        SECTION("empty") { coding = ""; }
+        request = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nTransfer-Encoding: " + coding + "\r\n\r\n"
+            + requestBytes("r2", "/once/2");
+        status = "400";
+    }
+    SECTION("chunked in HTTP/1.0, RFC 9112 section 6.1")
+    {
+        request = "POST /once/1 HTTP/1.0\r\nHost: shop.example\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "0\r\n\r\n";
+        status = "400";
+    }
     SECTION("a chunk size that is not a number")
     {
         request = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
