Measure the stall of a streamed answer from the last byte read

Cause: the watchdog was set for each block that was passed on, and ran while the caller read.

Change: it is set before each read, not before the deadline of the request, and the time for passing the answer on does not count.

--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -46,8 +46,9 @@
 /// Bodies up to this size are written together with the header; they fit into the socket's send buffer.
 constexpr std::size_t maximumBytesWithHeader = 16UL * 1024;
 
-/// Maximum time between two reads of a streamed response, and its maximum time beyond the deadline of the request. No
-/// caller waits that long, so a longer response comes from a faulty server.
+/// Maximum time between two reads of a streamed response after the deadline of the request, and its maximum time beyond
+/// that deadline, without the time for passing it on. No caller waits that long, so a longer response comes from a
+/// faulty server.
 constexpr seconds maximumStall { 10 };
 constexpr seconds maximumStreamingOverrun { 10 };
 
@@ -106,7 +107,8 @@
     bool isForOtherRequest = false; ///< Its request id is a different one.
     bool isInvalid = false;
     bool hasStarted = false; ///< The header of the response to this request has arrived.
-    TimePoint streamingDeadline {};
+    TimePoint deadline {}; ///< Of the request.
+    TimePoint streamingDeadline {}; ///< Moves on while the response is passed on.
     std::size_t unrelatedBytes = 0; ///< Of the bodies of responses to other requests.
 };
 
@@ -187,6 +189,7 @@
     const auto self = this->shared_from_this();
     PendingResponse pending;
     pending.request = request;
+    pending.deadline = deadline;
     pending.streamingDeadline = deadline + maximumStreamingOverrun;
     try {
         co_return co_await this->sendAndReceive(pending, std::move(head), names, deadline, sink);
@@ -333,11 +336,20 @@
     }
 }
 
+void ServerConnection::armStreamingWatchdog(const PendingResponse& pending)
+{
+    // A response that has begun is delivered also after the deadline, unless it stalls or never ends.
+    const TimePoint stalledAt = std::max<TimePoint>(pending.deadline, Clock::now() + maximumStall);
+    this->armWatchdog(std::min(stalledAt, pending.streamingDeadline));
+}
+
 Awaitable<bool> ServerConnection::readBody(PendingResponse& pending, ResponseSink& sink)
 {
     auto& parser = *pending.parser;
     std::string& body = parser.get().body();
     while (!parser.is_done()) {
+        if (pending.result.wasStreamed)
+            this->armStreamingWatchdog(pending);
         const auto [error, bytes] = co_await beast::http::async_read_some(this->socket, this->buffer, parser, useTuple);
         if (error) {
             pending.error = error;
@@ -354,8 +366,9 @@
             }
         }
         if (!pending.isForOtherRequest) {
-            // Responses that have begun are delivered also after the deadline, unless they stall or never end.
-            this->armWatchdog(std::min<TimePoint>(Clock::now() + maximumStall, pending.streamingDeadline));
+            // A caller that reads slowly, or waits for an earlier response, is no stall of the server.
+            this->watchdog.cancel();
+            const TimePoint passedOnAt = Clock::now();
             if (!pending.result.wasStreamed) {
                 pending.result.wasStreamed = true;
                 const auto length = parser.content_length();
@@ -365,6 +378,7 @@
             }
             if (!co_await sink.write(body))
                 co_return false;
+            pending.streamingDeadline += Clock::now() - passedOnAt;
         }
         body.clear();
     }
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -79,6 +79,7 @@
     Awaitable<ServerResponse> sendAndReceive(
         PendingResponse& pending, std::string head, const WireNames& names, TimePoint deadline, ResponseSink& sink);
     void armWatchdog(TimePoint deadline);
+    void armStreamingWatchdog(const PendingResponse& pending);
     Awaitable<void> writeBody(std::shared_ptr<const ForwardedRequest> request);
     /// Reads the body. Returns false when it is incomplete or the sink failed.
     Awaitable<bool> readBody(PendingResponse& pending, ResponseSink& sink);
