--- a/src/libs/http/growingbody.h
+++ b/src/libs/http/growingbody.h
@@ -17,10 +17,10 @@
 
     static std::uint64_t size(const value_type& body) { return body.size(); }
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, typename Fields>
-        reader(beast::http::header<isRequest, Fields>& /*header*/, value_type& messageBody)
+        Reader(beast::http::header<isRequest, Fields>& /*header*/, value_type& messageBody)
             : body(messageBody)
         {
         }
@@ -43,6 +43,7 @@
     private:
         value_type& body;
     };
+    using reader = Reader; ///< Name that the library expects.
 };
 
 } // namespace clementinefall::http
