Let exceptions of coroutines end no other work, and log them

One std::bad_alloc in accepting, ticking, heartbeats, registration or following the store ended that for the rest of the process; a handler that threw kept its place among the connections of http::Server, and changes of the store that could not be applied were lost.

http::spawn() logs and cleans up, http::spawnLoop() starts again after 100 ms, http::runHandlers() is now one function for both programs, and KindWatcher lists anew when changes were not applied.

--- a/src/app/entry/bundlewatcher.cpp
+++ b/src/app/entry/bundlewatcher.cpp
@@ -1,9 +1,8 @@
 #include "bundlewatcher.h"
 
 #include "base/log.h"
+#include "http/spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace clementinefall::entry {
@@ -31,8 +30,9 @@
 
 void BundleWatcher::start(const asio::any_io_executor& executor)
 {
+    const auto self = this->shared_from_this();
     for (const char* kind : { "bundles", "rollouts" })
-        asio::co_spawn(executor, this->watchKind(this->shared_from_this(), kind), asio::detached);
+        http::spawnLoop(executor, "watch_bundles", [self, kind] { return self->watchKind(self, kind); });
 }
 
 Awaitable<void> BundleWatcher::watchKind(std::shared_ptr<BundleWatcher> self, std::string kind)
--- a/src/app/entry/entryinstance.cpp
+++ b/src/app/entry/entryinstance.cpp
@@ -2,10 +2,9 @@
 
 #include "admin/platformstore.h"
 #include "base/log.h"
+#include "http/spawn.h"
 #include "http/target.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace clementinefall::entry {
@@ -91,13 +90,13 @@
     Status controlStarted = this->startControl();
     if (!isOk(controlStarted))
         return controlStarted;
-    asio::co_spawn(this->control, this->tick(), asio::detached);
+    http::spawnLoop(this->control.get_executor(), "tick", [this] { return this->tick(); });
     this->signals.async_wait([this](beast::error_code error, int) {
         if (!error)
             this->beginStop();
     });
     for (const auto& runner : this->runners)
-        runner->systemThread = std::thread([context = &runner->context] { context->run(); });
+        runner->systemThread = std::thread([context = &runner->context] { http::runHandlers(*context); });
     logInfo("entry_started",
         { { "instance", this->settings.name }, { "zone", this->settings.zone },
             { "incarnation", fmt::format("{:016x}", this->state.self.incarnation) },
@@ -263,7 +262,8 @@
             this->queryZoneIfDue(this->state.tickServers(now), now);
         if (now >= this->nextPlatformListRead) {
             this->nextPlatformListRead = now + listReadInterval;
-            asio::co_spawn(this->control, this->updatePlatformDrains(), asio::detached);
+            http::spawn(
+                this->control.get_executor(), "platform_drains", [this] { return this->updatePlatformDrains(); });
         }
         {
             const std::scoped_lock lock(this->state.executionMutex);
@@ -283,7 +283,7 @@
     this->fleet->leave();
     this->publish();
     logInfo("stop_requested", { { "instance", this->settings.name } });
-    asio::co_spawn(this->control, this->stopGracefully(), asio::detached);
+    http::spawnLoop(this->control.get_executor(), "stop", [this] { return this->stopGracefully(); });
 }
 
 Awaitable<void> EntryInstance::stopGracefully()
--- a/src/libs/forwarding/callerserver.cpp
+++ b/src/libs/forwarding/callerserver.cpp
@@ -2,9 +2,8 @@
 
 #include "base/log.h"
 #include "http/sockets.h"
+#include "http/spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace clementinefall::forwarding {
@@ -31,8 +30,7 @@
     Status opened = http::openAcceptor(this->acceptor, address);
     if (isOk(opened)) {
         const auto self = this->shared_from_this();
-        asio::co_spawn(
-            this->executor, [self]() -> Awaitable<void> { return self->acceptLoop(); }, asio::detached);
+        http::spawnLoop(this->executor, "accept", [self] { return self->acceptLoop(); });
     }
     return opened;
 }
@@ -75,8 +73,8 @@
 {
     auto session = std::make_shared<CallerSession>(std::move(socket), this->context, this->source);
     this->sessions.push_back(session);
-    asio::co_spawn(
-        this->executor, [session]() -> Awaitable<void> { return session->run(); }, asio::detached);
+    http::spawn(
+        this->executor, "caller_session", [session] { return session->run(); }, [session] { session->close(); });
 }
 
 void CallerServer::stopAccepting()
--- a/src/libs/forwarding/heartbeatexchange.cpp
+++ b/src/libs/forwarding/heartbeatexchange.cpp
@@ -1,9 +1,7 @@
 #include "forwarding/heartbeatexchange.h"
 
 #include "base/log.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "http/spawn.h"
 
 #include <algorithm>
 
@@ -46,8 +44,7 @@
     if (error)
         return makeError(ResultCode::SettingsBadAddress, "cannot bind {}: {}", address.text(), error.message());
     const auto self = this->shared_from_this();
-    asio::co_spawn(
-        this->executor, [self]() -> Awaitable<void> { return self->receiveLoop(); }, asio::detached);
+    http::spawnLoop(this->executor, "heartbeats", [self] { return self->receiveLoop(); });
     return okStatus();
 }
 
--- a/src/libs/forwarding/reachabilitymonitor.cpp
+++ b/src/libs/forwarding/reachabilitymonitor.cpp
@@ -2,9 +2,7 @@
 
 #include "base/log.h"
 #include "forwarding/serverconnection.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "http/spawn.h"
 
 namespace clementinefall::forwarding {
 
@@ -42,10 +40,8 @@
     const auto verification = std::make_shared<Verification>(Verification { .attempted = servers.size() });
     const auto self = this->shared_from_this();
     for (const ServerPointer& server : servers) {
-        asio::co_spawn(
-            this->executor,
-            [self, verification, server]() -> Awaitable<void> { return self->connectTo(verification, server); },
-            asio::detached);
+        http::spawn(this->executor, "verify_server",
+            [self, verification, server] { return self->connectTo(verification, server); });
     }
 }
 
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -3,10 +3,9 @@
 #include "base/log.h"
 #include "http/growingbody.h"
 #include "http/sockets.h"
+#include "http/spawn.h"
 #include "http/syntaxerror.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -223,7 +222,7 @@
     }
     this->isRequestWritten = writesBodyWithHeader;
     if (!writesBodyWithHeader)
-        asio::co_spawn(this->socket.get_executor(), this->writeBody(request), asio::detached);
+        http::spawn(this->socket.get_executor(), "write_body", [self, request] { return self->writeBody(request); });
 
     unsigned interimResponses = 0;
     for (unsigned unrelatedResponses = 0; unrelatedResponses <= maximumUnrelatedResponses;) {
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -1,11 +1,10 @@
 #include "http/server.h"
 
 #include "http/sockets.h"
+#include "http/spawn.h"
 
 #include "base/log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -44,7 +43,8 @@
     Status opened = openAcceptor(this->acceptor, address);
     if (!isOk(opened))
         return opened;
-    asio::co_spawn(*this->contexts.front(), this->acceptLoop(this->shared_from_this()), asio::detached);
+    const auto self = this->shared_from_this();
+    spawnLoop(this->contexts.front()->get_executor(), "accept", [self] { return self->acceptLoop(self); });
     return okStatus();
 }
 
@@ -70,7 +70,12 @@
         auto connection = std::make_shared<Connection>(std::move(socket));
         if (!self->admit(connection))
             continue;
-        asio::co_spawn(context, self->serve(self, connection), asio::detached);
+        const auto abandon = [self, connection] {
+            connection->stream.close();
+            self->remove(connection);
+        };
+        spawn(
+            context.get_executor(), "serve", [self, connection] { return self->serve(self, connection); }, abandon);
     }
 }
 
@@ -140,14 +145,18 @@
         co_return false;
     }
     connection->idle = false;
-    ++this->exchangesInFlight;
-    if (this->draining)
-        exchange->setClosing();
-    co_await this->handler(exchange);
-    exchange->stopWatching();
-    if (!exchange->hasCompletedResponse())
-        exchange->abort();
-    --this->exchangesInFlight;
+    {
+        ++this->exchangesInFlight;
+        const auto release = [this](Exchange*) { --this->exchangesInFlight; };
+        // Also when an exception ends the handler.
+        const std::unique_ptr<Exchange, decltype(release)> inFlight(exchange.get(), release);
+        if (this->draining)
+            exchange->setClosing();
+        co_await this->handler(exchange);
+        exchange->stopWatching();
+        if (!exchange->hasCompletedResponse())
+            exchange->abort();
+    }
     connection->idle = true;
     if (exchange->isKeptAlive() && !this->draining)
         co_return true;
--- a/src/libs/http/tst_http.cpp
+++ b/src/libs/http/tst_http.cpp
@@ -1,5 +1,6 @@
 #include "http/clientconnection.h"
 #include "http/server.h"
+#include "http/spawn.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
@@ -7,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <new>
 #include <thread>
 
 using namespace clementinefall;
@@ -161,6 +163,30 @@
         CHECK(valueOf(response).body() == "still there");
     }
 
+    SECTION("an exception in a handler costs its own connection only, and frees it")
+    {
+        ServerLimits limits;
+        limits.maximumConnections = 1;
+        const Handler failing = [](std::shared_ptr<Exchange> exchange) -> Awaitable<void> {
+            if (exchange->header().target() == "/fail")
+                throw std::bad_alloc();
+            co_await echo(exchange);
+        };
+        Fixture fixture(failing, limits);
+        for (int i = 0; i < 3; ++i) {
+            Request request { Verb::post, "/fail", 11 };
+            CHECK_FALSE(isOk(
+                fixture.run(callOnce(fixture.clientContext.get_executor(), fixture.address(), std::move(request)))));
+        }
+        // The task runs after the end of the connection's coroutine, which closed the connection.
+        asio::post(fixture.serverContext, asio::use_future).get();
+        CHECK(fixture.server->activeExchanges() == 0);
+        const auto response
+            = fixture.run(callOnce(fixture.clientContext.get_executor(), fixture.address(), postRequest("next")));
+        REQUIRE(isOk(response));
+        CHECK(valueOf(response).body() == "next");
+    }
+
     SECTION("connections over the limit for one peer are closed, and the others work on")
     {
         ServerLimits limits;
@@ -199,3 +225,43 @@
         CHECK(errorOf(refused).code == ResultCode::NotRunConnectRefused);
     }
 }
+
+TEST_CASE("An exception that leaves a coroutine or a handler ends neither the process nor other work")
+{
+    asio::io_context context;
+    unsigned runs = 0;
+    bool hasEnded = false;
+
+    SECTION("a coroutine on which the process depends is started again")
+    {
+        spawnLoop(context.get_executor(), "loop", [&]() -> Awaitable<void> {
+            if (++runs < 3)
+                throw std::bad_alloc();
+            hasEnded = true;
+            co_return;
+        });
+        runHandlers(context);
+        CHECK(runs == 3);
+    }
+
+    SECTION("another coroutine ends, and its owner cleans up")
+    {
+        const auto fail = [&]() -> Awaitable<void> {
+            ++runs;
+            throw std::bad_alloc();
+            co_return;
+        };
+        spawn(context.get_executor(), "single", fail, [&] { hasEnded = true; });
+        runHandlers(context);
+        CHECK(runs == 1);
+    }
+
+    SECTION("handlers behind one that throws are run")
+    {
+        asio::post(context, [] { throw std::bad_alloc(); });
+        asio::post(context, [&] { hasEnded = true; });
+        runHandlers(context);
+    }
+
+    CHECK(hasEnded);
+}
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -1,11 +1,9 @@
 #include "platform/kindwatcher.h"
 
 #include "base/log.h"
+#include "http/spawn.h"
 #include "platform/calllimiter.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -32,8 +30,7 @@
 void KindWatcher::start()
 {
     const auto self = this->shared_from_this();
-    asio::co_spawn(
-        this->executor, [self]() -> Awaitable<void> { return self->run(); }, asio::detached);
+    http::spawnLoop(this->executor, "watch", [self] { return self->run(); });
 }
 
 void KindWatcher::stop()
@@ -109,9 +106,9 @@
     this->recordSuccess();
     this->detectRestore(valueOf(set).era);
     this->position = { valueOf(set).era, valueOf(set).revision };
-    this->needsList = false;
     if (this->onList)
         this->onList(valueOf(set), this->sinceLastList);
+    this->needsList = false;
     this->hasListed = true;
     this->sinceLastList = {};
     this->mustWatchAtOnce = isFirst;
@@ -148,8 +145,11 @@
         co_return true;
     }
     this->position.revision = std::max(this->position.revision, changes.revision);
+    // Stays set when an exception ends the handler: what was not applied is in the next list.
+    this->needsList = true;
     if (!changes.changes.empty() && this->onChanges)
         this->onChanges(changes);
+    this->needsList = false;
     this->recordCaughtUp();
     co_return true;
 }
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <new>
+#include <utility>
 
 using namespace clementinefall;
 using namespace clementinefall::platform;
@@ -121,6 +123,22 @@
         CHECK(source->revisions[2] == 12);
     }
 
+    SECTION("an exception while changes are applied neither ends the watch nor loses them: a new list follows")
+    {
+        source->lists = { emptySetAt(7), emptySetAt(9) };
+        source->watches = { removalOf("a", 9), removalOf("b", 10) };
+        const auto record = watcher->onChanges;
+        bool hasFailed = false;
+        watcher->onChanges = [&](const ChangeSet& changes) {
+            if (!std::exchange(hasFailed, true))
+                throw std::bad_alloc();
+            record(changes);
+        };
+        runScript();
+        CHECK(source->listCalls == 2);
+        CHECK(removedNames == std::vector<std::string> { "b" });
+    }
+
     SECTION("changes since a stale first list are read without waiting for the minimum interval")
     {
         WatchOptions slow = options;
