Keep a server's notice for its incarnation when its entry came back meanwhile

Callers would have been sent to a server that had said that it leaves, or that asked for a pause, after its entry had been removed and inserted anew (moved, or lost in an outage) while a request was at it: the notice was kept with the object that the connection was opened for. The same for a notice from another instance that arrived while the entry was missing here.

Change: ServerCatalog::findIncarnation() finds the server of an incarnation, also for a time after its entry was removed; notices of both kinds apply to it.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -917,8 +917,11 @@
     return connection;
 }
 
-void Forwarder::applyNotice(const ServerPointer& server, const ServerNotice& notice, TimePoint now)
+void Forwarder::applyNotice(const ServerPointer& sender, const ServerNotice& notice, TimePoint now)
 {
+    // The entry of the incarnation may have been removed and inserted anew since the connection was opened.
+    const ServerPointer current = this->catalog->findIncarnation(sender->entry.id, sender->entry.startTimeMs);
+    const ServerPointer& server = current ? current : sender;
     if (!notice.invalid.empty()) {
         logWarning("server_notice_invalid", { { "server", server->entry.id }, { "value", notice.invalid } });
     }
@@ -1065,7 +1068,7 @@
         if (const auto& leaving = response.message.leavingServer) {
             job.leavingServer = leaving;
             if (this->catalog->markLeaving(leaving->id, leaving->startTimeMs))
-                this->onServerLeaving(*this->catalog->find(leaving->id), "instance");
+                this->onServerLeaving(*this->catalog->findIncarnation(leaving->id, leaving->startTimeMs), "instance");
         }
         // Without the number, the other instance may have sent the request to all of them, also when it was rejected.
         job.attemptsSent += response.message.serversTried.value_or(servers);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -194,7 +194,8 @@
     PermitReply decidePermit(BackendServer& server, Duration maximumDelay, TimePoint now);
     /// A new connection to \a server, which is not connected yet.
     std::shared_ptr<ServerConnection> createConnection(const ServerPointer& server);
-    void applyNotice(const ServerPointer& server, const ServerNotice& notice, TimePoint now);
+    /// Applies what a backend server said in a response on a connection to \a sender.
+    void applyNotice(const ServerPointer& sender, const ServerNotice& notice, TimePoint now);
     /// Logs and counts that the server said so, in a response to this instance or through another one (\a source).
     void onServerLeaving(const BackendServer& server, std::string_view source);
     void onConnectFailure(const ServerPointer& server, TimePoint now);
--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -144,8 +144,8 @@
 
 bool ServerCatalog::markLeaving(const std::string& id, std::uint64_t startTimeMs)
 {
-    const ServerPointer server = this->find(id);
-    if (!server || server->entry.startTimeMs != startTimeMs || server->isLeaving)
+    const ServerPointer server = this->findIncarnation(id, startTimeMs);
+    if (!server || server->isLeaving)
         return false;
     server->isLeaving = true;
     return true;
@@ -197,4 +197,14 @@
     return found == this->servers.end() ? nullptr : found->second;
 }
 
+ServerPointer ServerCatalog::findIncarnation(const std::string& id, std::uint64_t startTimeMs) const
+{
+    ServerPointer server = this->find(id);
+    if (!server) {
+        const auto removed = this->removedServers.find(id);
+        server = removed == this->removedServers.end() ? nullptr : removed->second.server;
+    }
+    return server && server->entry.startTimeMs == startTimeMs ? server : nullptr;
+}
+
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -64,7 +64,8 @@
     /// shorten the time: they may have been written earlier.
     void setEvacuations(std::set<std::string> zones, TimePoint now);
 
-    /// Records that an incarnation has said that it leaves. Returns false when it is not known or this was known.
+    /// Records that an incarnation has said that it leaves, also while its entry is removed: the entry may come back.
+    /// Returns false when the incarnation is not known or this was known.
     bool markLeaving(const std::string& id, std::uint64_t startTimeMs);
 
     const std::set<std::string>& evacuations() const { return this->evacuatedZones; }
@@ -76,6 +77,8 @@
     std::vector<ServerPointer> allServers() const;
 
     ServerPointer find(const std::string& id) const;
+    /// The incarnation of a server, also for a time after its entry was removed; null when it is not known.
+    ServerPointer findIncarnation(const std::string& id, std::uint64_t startTimeMs) const;
     std::size_t size() const { return this->servers.size(); }
 
     /// Called with each removed server, so that its idle connections can be closed.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -470,6 +470,28 @@
         }
     }
 
+    SECTION("gets no further request although its entry was removed and came back before it said so")
+    {
+        bool pauses = false;
+        SECTION("that it leaves") { notice = "X-Leaving: 1\r\n"; }
+        SECTION("that it wants a pause") { pauses = true; }
+        fixture.first.script = [&](const std::string& request) {
+            const std::string rejection = "HTTP/1.1 503 Busy\r\nX-Id: " + idOf(request)
+                + "\r\nX-Not-Run: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n";
+            return ScriptedResponse { .bytes = pauses ? rejection : answering(request).bytes, .isHeld = true };
+        };
+        const auto caller = fixture.open(requestBytes("r1", "/once/1"));
+        fixture.runUntil([&] { return fixture.first.requests.size() == 1; });
+        ServerEntry entry = fixture.catalog->find("s1")->entry;
+        fixture.catalog->remove("s1", Clock::now());
+        ++entry.sequence;
+        REQUIRE(fixture.catalog->apply(entry, Clock::now()));
+        fixture.first.release();
+        CHECK_FALSE(fixture.receive(caller, "\r\n\r\n").empty());
+        fixture.first.script = answering;
+        CHECK(requestsAfter(fixture.first, 10) == 0);
+    }
+
     SECTION("gets no further request after a rejection that says that it leaves")
     {
         fixture.first.script = [](const std::string& request) {
--- a/src/libs/forwarding/tst_servercatalog.cpp
+++ b/src/libs/forwarding/tst_servercatalog.cpp
@@ -76,6 +76,20 @@
         }
     }
 
+    SECTION("a server of which another instance says that it leaves stays unused when its removed entry comes back")
+    {
+        const std::uint64_t startTime = server->entry.startTimeMs;
+        catalog.replaceAll({}, true, start);
+        catalog.expireMissing(start + seconds(3));
+        REQUIRE(catalog.find("s1") == nullptr);
+        CHECK(catalog.markLeaving("s1", startTime));
+        CHECK_FALSE(catalog.markLeaving("s1", startTime));
+        CHECK_FALSE(catalog.markLeaving("s1", startTime + 1));
+        catalog.apply(entryOf("s1", 10, 6), start + seconds(4));
+        REQUIRE(catalog.find("s1") != nullptr);
+        CHECK_FALSE(isUsable(*catalog.find("s1")));
+    }
+
     SECTION("a server restarted under its old id starts without state, although its sequence is lower")
     {
         server->inFlight = 3;
