End only the read when a caller's request arrives too slowly

Callers lost the rest of a long response when the request behind it stalled for the header timeout (or its body for 10 s): the timeout cancelled all operations of the socket, and so the write of the earlier response.

Change: http::readSome() reads once and parses, with a cancellation slot of its own; the timeout ends that read alone and is noticed also when the read has just ended. The request that stalled gets 408 behind the earlier responses, as before.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -3,12 +3,12 @@
 #include "base/log.h"
 #include "forwarding/peerforwarding.h"
 #include "forwarding/stopschedule.h"
+#include "http/readsome.h"
 #include "http/syntaxerror.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 
@@ -25,6 +25,9 @@
 /// are parsed as a whole, so a caller could fill the memory with one that never ends.
 constexpr std::size_t maximumUnparsedBytes = 64UL * 1024;
 
+/// Limit of one read from a caller.
+constexpr std::size_t maximumReadBytes = 16UL * 1024;
+
 /// Maximum time between two reads of a body.
 constexpr seconds bodyReadTimeout { 10 };
 
@@ -129,13 +132,15 @@
 
 void CallerSession::armWatchdog(TimePoint deadline)
 {
+    this->hasReadTimedOut = false;
     this->watchdog.expires_at(deadline);
     this->watchdog.async_wait([weak = this->weak_from_this(), deadline](beast::error_code error) {
         const auto self = weak.lock();
         if (error || !self || self->watchdog.expiry() != deadline)
             return;
-        beast::error_code ignored;
-        self->socket.cancel(ignored);
+        // Ends the read alone: the response to an earlier request may be on its way to the caller.
+        self->hasReadTimedOut = true;
+        self->readCancellation.emit(asio::cancellation_type::terminal);
     });
 }
 
@@ -209,7 +214,8 @@
     if (this->buffer.size() == 0) {
         if (this->queue.empty())
             this->armWatchdog(Clock::now() + this->limits().idleTimeout);
-        const auto [waitError] = co_await this->socket.async_wait(tcp::socket::wait_read, useTuple);
+        const auto [waitError] = co_await this->socket.async_wait(
+            tcp::socket::wait_read, asio::bind_cancellation_slot(this->readCancellation.slot(), useTuple));
         if (waitError) {
             this->close();
             co_return false;
@@ -222,8 +228,9 @@
     parser.header_limit(bounds.maximumHeaderBytes);
     parser.body_limit(bounds.maximumBodyBytes);
     this->isReading = true;
-    const auto [headerError, headerBytes]
-        = co_await beast::http::async_read_header(this->socket, this->buffer, parser, useTuple);
+    beast::error_code headerError;
+    while (!headerError && !parser.is_header_done())
+        headerError = co_await this->readSome(parser);
     if (this->isClosed)
         co_return false;
     if (this->willClose) {
@@ -298,6 +305,14 @@
     co_return true;
 }
 
+Awaitable<beast::error_code> CallerSession::readSome(Parser& parser)
+{
+    const beast::error_code error
+        = co_await http::readSome(this->socket, this->buffer, parser, maximumReadBytes, this->readCancellation.slot());
+    // The watchdog may fire when the read has ended but this coroutine has not been resumed yet.
+    co_return !error && this->hasReadTimedOut ? asio::error::operation_aborted : error;
+}
+
 Awaitable<Status> CallerSession::receiveBody(
     Parser& parser, std::shared_ptr<QueuedRequest> queued, std::uint64_t limitBytes)
 {
@@ -322,7 +337,7 @@
     }
     while (!parser.is_done()) {
         this->armWatchdog(Clock::now() + bodyReadTimeout);
-        const auto [error, bytes] = co_await beast::http::async_read_some(this->socket, this->buffer, parser, useTuple);
+        const beast::error_code error = co_await this->readSome(parser);
         if (error && http::isSyntaxError(error))
             co_return makeError(codeOfReadError(error), "{}", error.message());
         if (error == asio::error::operation_aborted && !this->isClosed)
@@ -478,7 +493,8 @@
 {
     std::array<char, 4096> scratch {};
     while (true) {
-        const auto [error, bytes] = co_await this->socket.async_read_some(asio::buffer(scratch), useTuple);
+        const auto [error, bytes] = co_await this->socket.async_read_some(
+            asio::buffer(scratch), asio::bind_cancellation_slot(this->readCancellation.slot(), useTuple));
         if (error)
             co_return;
     }
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -3,6 +3,7 @@
 #include "forwarding/forwarder.h"
 #include "http/growingbody.h"
 
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -81,6 +82,8 @@
 
     /// Receives one request and starts to serve it. Returns false when no further one can follow.
     Awaitable<bool> receive();
+    /// Reads and parses a part of a request. Error operation_aborted when the watchdog has fired.
+    Awaitable<beast::error_code> readSome(Parser& parser);
     /// Errors: BodyTooLarge, NotRunBodyLimit, SlowSender, BadRequest; UnknownCancelled when the caller closed the
     /// connection.
     Awaitable<Status> receiveBody(Parser& parser, std::shared_ptr<QueuedRequest> queued, std::uint64_t limitBytes);
@@ -108,7 +111,8 @@
     CallerLimits limits() const;
 
     asio::ip::tcp::socket socket;
-    asio::steady_timer watchdog;
+    asio::cancellation_signal readCancellation;
+    asio::steady_timer watchdog; ///< Ends a read from the caller that takes too long.
     asio::steady_timer writeWatchdog;
     asio::steady_timer queueSignal; ///< Cancelled when a request leaves the queue or the connection is closed.
     std::shared_ptr<SessionContext> context;
@@ -117,6 +121,7 @@
     /// Requests in the order of arrival. Only the response to the first one may be sent.
     std::deque<std::shared_ptr<QueuedRequest>> queue;
     bool isReading = false; ///< A request is being received.
+    bool hasReadTimedOut = false; ///< The watchdog has fired since it was armed.
     bool isClosed = false;
     bool willClose = false; ///< No further request is accepted; the connection closes after the last response.
 };
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -52,7 +52,8 @@
         this->second.script = respond;
     }
 
-    void configure(std::uint64_t version, const std::string& safePrefix)
+    void configure(
+        std::uint64_t version, const std::string& safePrefix, Duration headerTimeout = CallerLimits {}.headerTimeout)
     {
         auto configuration = std::make_shared<Configuration>();
         configuration->version = version;
@@ -85,6 +86,7 @@
         configuration->services["stock"] = service;
         configuration->limits.maximumBodyBytes = 1000;
         configuration->limits.maximumHeaderBytes = 2000;
+        configuration->limits.headerTimeout = headerTimeout;
         this->forwarder->configure(configuration);
     }
 
@@ -871,6 +873,29 @@
         CHECK(fixture.receive(caller, "body-", 2).find("body-r2") != std::string::npos);
     }
 
+    SECTION("get a long response whole although the request behind it arrives too slowly")
+    {
+        fixture.configure(2, "/safe/", milliseconds(100));
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { .bytes
+                = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request) + "\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+                .repeated = "10000\r\n" + std::string(0x10000, 'd') + "\r\n" };
+        };
+        const auto caller = fixture.open(requestBytes("r1", "/file/1"));
+        caller->set_option(tcp::socket::receive_buffer_size(4096));
+        std::size_t sentBefore = 0;
+        fixture.runUntil([&] {
+            // The response waits for the caller to read when nothing more of it arrives.
+            const std::size_t before = std::exchange(sentBefore, fixture.first.repeatedBytes);
+            fixture.context.run_for(milliseconds(100));
+            return before > 0 && before == fixture.first.repeatedBytes;
+        });
+        asio::write(*caller, asio::buffer(std::string_view("GET /safe/2 HTT")));
+        fixture.context.run_for(milliseconds(400));
+        CHECK(fixture.first.closedByPeer == 0);
+        CHECK(fixture.sessions->inProgress == 1);
+    }
+
     SECTION("get their responses although a malformed request follows")
     {
         auto caller = fixture.open(requestBytes("r1", "/safe/1") + "BROKEN\r\n\r\n");
--- /dev/null
+++ b/src/libs/http/readsome.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "http/awaitable.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace clementinefall::http {
+
+/// Parses the bytes in \a buffer and, if they complete no part of the message, reads once from the socket, at most
+/// \a maximumBytes, and parses again. Unlike the operations of the library it returns after each read, so that the
+/// bytes can be counted before more are read, and \a cancellation can end the read alone, without a write on the same
+/// socket. \a parser must not be done. Errors: those of the library's read operations.
+template <bool isRequest>
+Awaitable<beast::error_code> readSome(asio::ip::tcp::socket& socket, beast::flat_buffer& buffer,
+    beast::http::basic_parser<isRequest>& parser, std::size_t maximumBytes, asio::cancellation_slot cancellation = {})
+{
+    parser.eager(false);
+    const auto parse = [&buffer, &parser] {
+        beast::error_code error;
+        buffer.consume(parser.put(buffer.data(), error));
+        return error;
+    };
+    if (buffer.size() > 0) {
+        const beast::error_code error = parse();
+        if (error != beast::http::error::need_more)
+            co_return error;
+    }
+    const std::size_t room = buffer.max_size() - buffer.size();
+    if (room == 0)
+        co_return beast::http::error::buffer_overflow;
+    const auto [readError, bytes] = co_await socket.async_read_some(
+        buffer.prepare(std::min(room, maximumBytes)), asio::bind_cancellation_slot(cancellation, useTuple));
+    buffer.commit(bytes);
+    if (readError == asio::error::eof) {
+        beast::error_code error = beast::http::error::end_of_stream;
+        if (parser.got_some())
+            parser.put_eof(error = {});
+        co_return error;
+    }
+    if (readError)
+        co_return readError;
+    const beast::error_code error = parse();
+    co_return error == beast::http::error::need_more ? beast::error_code() : error;
+}
+
+} // namespace clementinefall::http
