Account for the memory of all messages under way, and bound it

Each response had a limit, 256 KB before it is passed on, and their sum had none but the file descriptors; only bodies of requests were counted.

From 70 in 100 on, what can be passed on is passed on from its first bytes and the rest is read up to 4 KB each, oldest first; from 90 in 100 on new requests are rejected at once as not run (2017, not-run-memory) and the largest connection whose caller has not read for a second is closed, with a log line. A server that sends more than any response may have is left out for a moment, like one that fails.

Test that was changed: "Bytes without end from a faulty server" asked that the only server is used again at once. It now asks that another one serves four requests meanwhile and the first one gets none, and that the first one serves again after 0.3 s.

--- a/src/libs/base/resultcode.cpp
+++ b/src/libs/base/resultcode.cpp
@@ -47,6 +47,8 @@
         "Earlier attempts were not run and the retry budget is spent." },
     ResultCodeInfo { ResultCode::NotRunCancelled, Outcome::NotRun, "not-run-cancelled",
         "The caller left before the request was sent." },
+    ResultCodeInfo { ResultCode::NotRunMemory, Outcome::NotRun, "not-run-memory",
+        "The memory of the entry instance for messages under way is exhausted." },
     ResultCodeInfo {
         ResultCode::UnknownTimeout, Outcome::Unknown, "unknown-timeout", "No answer arrived before the deadline." },
     ResultCodeInfo { ResultCode::UnknownConnectionLost, Outcome::Unknown, "unknown-connection-lost",
--- a/src/libs/base/resultcode.h
+++ b/src/libs/base/resultcode.h
@@ -37,6 +37,7 @@
     NotRunClassMismatch = 2014,
     NotRunRetryBudget = 2015,
     NotRunCancelled = 2016,
+    NotRunMemory = 2017,
 
     UnknownTimeout = 3000,
     UnknownConnectionLost = 3001,
--- a/src/libs/forwarding/backendserver.cpp
+++ b/src/libs/forwarding/backendserver.cpp
@@ -20,6 +20,11 @@
 /// Weight of the newest sample in the moving averages; they follow a change within about ten requests.
 constexpr double newestWeight = 0.15;
 
+Duration backoffAfter(unsigned earlierFailures)
+{
+    return std::min<Duration>(initialBackoff * (1U << std::min(earlierFailures, 3U)), maximumBackoff);
+}
+
 unsigned reportedOtherLoad(const LoadReport& report)
 {
     const unsigned total = report.running + report.waiting;
@@ -99,14 +104,19 @@
             : std::chrono::duration_cast<Duration>(server.connectTime * (1 - newestWeight) + duration * newestWeight);
         return;
     }
-    const Duration backoff = initialBackoff * (1U << std::min(server.connectFailures, 3U));
-    ++server.connectFailures;
-    server.backoffUntil = now + std::min<Duration>(backoff, maximumBackoff);
+    server.backoffUntil = now + backoffAfter(server.connectFailures++);
+}
+
+void recordExcessiveResponse(BackendServer& server, TimePoint now)
+{
+    server.backoffUntil = std::max(server.backoffUntil, now + backoffAfter(server.excessiveResponses++));
 }
 
 void recordAttempt(BackendServer& server, bool succeeded)
 {
     server.failureRate = server.failureRate * (1 - newestWeight) + (succeeded ? 0.0 : newestWeight);
+    if (succeeded)
+        server.excessiveResponses = 0;
 }
 
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -81,7 +81,9 @@
     double failureRate = 0.0; ///< Moving average over finished attempts, 0 to 1.
     Duration connectTime {}; ///< Moving average; about one round trip time.
     unsigned connectFailures = 0; ///< Consecutive.
-    TimePoint backoffUntil {}; ///< No requests before this time, after a failed connect or a misdirected request.
+    unsigned excessiveResponses = 0; ///< Since the last success.
+    /// No requests before this time, after a failed connect, a misdirected request or an excessive response.
+    TimePoint backoffUntil {};
     /// First send without a response since, or the last response if requests were still in flight then; unset while
     /// no response is due.
     TimePoint awaitingResponseSince {};
@@ -119,6 +121,9 @@
 /// Records the result of a connect. Consecutive failures exclude the server for a backoff that doubles up to 2 s.
 void recordConnect(BackendServer& server, bool succeeded, Duration duration, TimePoint now);
 
+/// Records a response that went on beyond all limits. Excludes the server like a failed connect.
+void recordExcessiveResponse(BackendServer& server, TimePoint now);
+
 /// Records whether an attempt succeeded or failed because of the server.
 void recordAttempt(BackendServer& server, bool succeeded);
 
--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
@@ -38,9 +39,20 @@
 /// Retry-After of an instance that is stopping. Short, as another instance can accept the request at once.
 constexpr milliseconds stoppingRetryAfter { 50 };
 
-/// Retry-After when the memory for bodies is used up; it is freed as other requests complete.
+/// Retry-After when memory is exhausted; it is freed as other requests complete.
 constexpr milliseconds memoryRetryAfter { 300 };
 
+/// Memory for the state of a request beside its header and body.
+constexpr std::size_t requestStateBytes = 4096;
+
+std::size_t headerBytes(const ForwardedRequest& request)
+{
+    std::size_t bytes = request.method.size() + request.target.size() + request.host.size();
+    for (const auto& [name, value] : request.fields)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
 ResultCode codeOfReadError(beast::error_code error)
 {
     if (error == beast::http::error::header_limit)
@@ -50,6 +62,11 @@
     return ResultCode::BadRequest;
 }
 
+Error notEnoughMemory()
+{
+    return makeError(ResultCode::NotRunMemory, "the memory for messages under way is exhausted");
+}
+
 } // namespace
 
 struct CallerSession::QueuedRequest {
@@ -61,7 +78,6 @@
     std::shared_ptr<RequestContext> requestContext = std::make_shared<RequestContext>();
     asio::steady_timer turn; ///< Cancelled when the request becomes the first in the queue.
     bool keepAlive = true;
-    std::uint64_t reservedBytes = 0;
 };
 
 /// Streams a response to the caller once its request is first in the queue.
@@ -80,34 +96,34 @@
             co_return false;
         this->isChunked = !length;
         const std::string text = this->session->encodeHead(head, length);
-        co_return co_await this->writeAll(text);
+        co_return co_await this->session->write(std::array { asio::buffer(text) });
+    }
+
+    bool canPassOn() const override
+    {
+        return this->queued->requestContext->isStreaming || this->session->queue.front() == this->queued;
     }
 
     Awaitable<bool> write(std::string_view chunk) override
     {
+        const asio::const_buffer content = asio::buffer(chunk.data(), chunk.size());
         if (!this->isChunked)
-            co_return co_await this->writeAll(chunk);
-        const std::string text = fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk);
-        co_return co_await this->writeAll(text);
+            co_return co_await this->session->write(std::array { content });
+        const std::string size = fmt::format("{:x}\r\n", chunk.size());
+        constexpr std::string_view end = "\r\n";
+        const asio::const_buffer ending = asio::buffer(end.data(), end.size());
+        co_return co_await this->session->write(std::array { asio::const_buffer(asio::buffer(size)), content, ending });
     }
 
     Awaitable<bool> end()
     {
         if (!this->isChunked)
             co_return true;
-        co_return co_await this->writeAll("0\r\n\r\n");
+        constexpr std::string_view last = "0\r\n\r\n";
+        co_return co_await this->session->write(std::array { asio::buffer(last.data(), last.size()) });
     }
 
 private:
-    Awaitable<bool> writeAll(std::string_view text)
-    {
-        this->session->armWriteWatchdog();
-        const auto [error, bytes]
-            = co_await asio::async_write(this->session->socket, asio::buffer(text.data(), text.size()), useTuple);
-        this->session->writeWatchdog.cancel();
-        co_return !error;
-    }
-
     std::shared_ptr<CallerSession> session;
     std::shared_ptr<QueuedRequest> queued;
     bool isChunked = false;
@@ -196,6 +212,10 @@
 Awaitable<void> CallerSession::run()
 {
     const auto self = this->shared_from_this();
+    this->connectionMemory = this->context->memory->open([weak = this->weak_from_this()] {
+        if (const auto session = weak.lock())
+            session->close();
+    });
     beast::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
     while (!this->isClosed && !this->willClose) {
@@ -224,13 +244,21 @@
     const CallerLimits bounds = this->limits();
     this->armWatchdog(Clock::now() + bounds.headerTimeout);
     this->buffer.max_size(bounds.maximumHeaderBytes + maximumUnparsedBytes);
+    auto queued = std::make_shared<QueuedRequest>(this->socket.get_executor());
+    const auto memory = std::make_shared<MessageMemory>(this->connectionMemory);
+    queued->requestContext->memory = memory;
     Parser parser;
     parser.header_limit(bounds.maximumHeaderBytes);
     parser.body_limit(bounds.maximumBodyBytes);
     this->isReading = true;
     beast::error_code headerError;
-    while (!headerError && !parser.is_header_done())
+    bool isMemoryExhausted = false;
+    while (!headerError && !parser.is_header_done() && !isMemoryExhausted) {
         headerError = co_await this->readSome(parser);
+        memory->holdRequest(this->buffer.size());
+        isMemoryExhausted
+            = this->buffer.size() > guaranteedBytes && this->context->memory->pressure() == MemoryPressure::Exhausted;
+    }
     if (this->isClosed)
         co_return false;
     if (this->willClose) {
@@ -239,6 +267,11 @@
         this->close();
         co_return false;
     }
+    if (!headerError && !parser.is_header_done()) {
+        co_await this->reject(notEnoughMemory(), nullptr);
+        this->close();
+        co_return false;
+    }
     if (headerError) {
         const bool isSlow = headerError == asio::error::operation_aborted && this->buffer.size() > 0;
         if (isSlow || http::isSyntaxError(headerError)) {
@@ -261,24 +294,26 @@
         this->close();
         co_return false;
     }
-    auto queued = std::make_shared<QueuedRequest>(this->socket.get_executor());
     auto request = std::make_shared<ForwardedRequest>(valueOf(decoded));
     request->hasBody = parser.content_length() || parser.chunked();
     queued->keepAlive = parser.keep_alive();
     queued->requestContext->request = request;
+    if (!memory->reserveRequest(requestStateBytes + headerBytes(*request))) {
+        co_await this->reject(notEnoughMemory(), request);
+        this->close();
+        co_return false;
+    }
     if (!parser.is_done()) {
         const Status bodyStatus = co_await this->receiveBody(parser, queued, bounds.maximumBodyBytes);
         if (!isOk(bodyStatus)) {
             if (!this->isClosed && errorOf(bodyStatus).code != ResultCode::UnknownCancelled)
                 co_await this->reject(errorOf(bodyStatus), request);
-            this->context->bodyMemory.release(queued->reservedBytes);
             this->close();
             co_return false;
         }
     }
     if (this->willClose) {
         // A response that announced the close left while the body was arriving, so the caller repeats this request.
-        this->context->bodyMemory.release(queued->reservedBytes);
         this->close();
         co_return false;
     }
@@ -319,16 +354,13 @@
     const auto length = parser.content_length();
     if (length && *length > limitBytes)
         co_return makeError(ResultCode::BodyTooLarge, "the body exceeds the limit of {} bytes", limitBytes);
-    const auto reserve = [&](std::uint64_t bytes) {
-        if (bytes <= queued->reservedBytes)
-            return true;
-        if (!this->context->bodyMemory.reserve(bytes - queued->reservedBytes))
-            return false;
-        queued->reservedBytes = bytes;
-        return true;
+    const std::size_t head = requestStateBytes + headerBytes(*queued->requestContext->request);
+    const auto reserve = [&](std::uint64_t bodyBytes) {
+        return queued->requestContext->memory->reserveRequest(
+            head + std::max(length.value_or(0), bodyBytes + this->buffer.size()));
     };
-    if (length && !reserve(*length))
-        co_return makeError(ResultCode::NotRunBodyLimit, "not enough memory for a body of {} bytes", *length);
+    if (!reserve(0))
+        co_return notEnoughMemory();
     const auto expectation = parser.get()[http::Field::expect];
     if (beast::iequals(expectation, "100-continue") && this->queue.empty()) {
         constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -346,7 +378,7 @@
             co_return makeError(
                 ResultCode::UnknownCancelled, "the caller closed the connection before the body was complete");
         if (!reserve(parser.get().body().size()))
-            co_return makeError(ResultCode::NotRunBodyLimit, "not enough memory for the body");
+            co_return notEnoughMemory();
     }
     co_return okStatus();
 }
@@ -440,7 +472,6 @@
     if (found == this->queue.end())
         return;
     this->queue.erase(found);
-    this->context->bodyMemory.release(queued->reservedBytes);
     --this->context->inProgress;
     if (!this->queue.empty())
         this->queue.front()->turn.cancel();
@@ -459,8 +490,22 @@
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::const_buffer {} };
     if (!isHead && response.status != 204 && response.status != 304)
         buffers[1] = asio::buffer(response.body);
+    co_return co_await this->write(buffers);
+}
+
+template <std::size_t count> Awaitable<bool> CallerSession::write(std::array<asio::const_buffer, count> buffers)
+{
+    const auto self = this->shared_from_this();
     this->armWriteWatchdog();
-    const auto [error, bytes] = co_await asio::async_write(this->socket, buffers, useTuple);
+    beast::buffers_suffix<std::array<asio::const_buffer, count>> rest(buffers);
+    beast::error_code error;
+    while (!error && beast::buffer_bytes(rest) > 0) {
+        this->connectionMemory->recordWriteProgress(Clock::now());
+        const auto [writeError, bytes] = co_await this->socket.async_write_some(rest, useTuple);
+        rest.consume(bytes);
+        error = writeError;
+    }
+    this->connectionMemory->recordWriteEnd();
     this->writeWatchdog.cancel();
     co_return !error;
 }
@@ -468,6 +513,8 @@
 Awaitable<void> CallerSession::reject(const Error& error, std::shared_ptr<const ForwardedRequest> request)
 {
     const std::string requestId = request ? request->id : std::string();
+    if (error.code == ResultCode::NotRunMemory)
+        this->context->memory->recordRejection();
     // Waits for the responses to earlier requests, to keep the order.
     while (!this->queue.empty() && !this->isClosed) {
         this->queueSignal.expires_at(TimePoint::max());
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwarder.h"
+#include "forwarding/memorybudget.h"
 #include "http/growingbody.h"
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -9,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <array>
 #include <deque>
 #include <exception>
 #include <memory>
@@ -16,36 +18,13 @@
 
 namespace clementinefall::forwarding {
 
-/// Limits the memory for the bodies of requests in flight.
-class BodyMemoryBudget {
-public:
-    explicit BodyMemoryBudget(std::uint64_t limitBytes)
-        : limit(limitBytes)
-    {
-    }
-
-    /// Returns false when \a bytes would exceed the limit.
-    bool reserve(std::uint64_t bytes)
-    {
-        if (this->used + bytes > this->limit)
-            return false;
-        this->used += bytes;
-        return true;
-    }
-    void release(std::uint64_t bytes) { this->used -= bytes; }
-
-private:
-    std::uint64_t limit;
-    std::uint64_t used = 0;
-};
-
 /// State shared by all caller sessions.
 struct SessionContext {
     std::shared_ptr<Forwarder> forwarder;
     WireNames names;
     /// Time for writing a response, or one part of a streamed response, to a caller that reads slowly.
     Duration writeTimeout = seconds(20);
-    BodyMemoryBudget bodyMemory { 64ULL * 1024 * 1024 };
+    std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>(64ULL * 1024 * 1024);
     bool isStopping = false; ///< Connections are closed after the last queued response.
     bool rejectsNewRequests = false; ///< New requests are rejected as not run.
     /// Set during a stop: requests that would take longer are rejected as not run.
@@ -84,7 +63,7 @@
     Awaitable<bool> receive();
     /// Reads and parses a part of a request. Error operation_aborted when the watchdog has fired.
     Awaitable<beast::error_code> readSome(Parser& parser);
-    /// Errors: BodyTooLarge, NotRunBodyLimit, SlowSender, BadRequest; UnknownCancelled when the caller closed the
+    /// Errors: BodyTooLarge, NotRunMemory, SlowSender, BadRequest; UnknownCancelled when the caller closed the
     /// connection.
     Awaitable<Status> receiveBody(Parser& parser, std::shared_ptr<QueuedRequest> queued, std::uint64_t limitBytes);
     /// Forwards a request and sends the response when it is first in the queue.
@@ -92,6 +71,8 @@
     /// Waits until the request is first in the queue. Returns false when the connection was closed.
     Awaitable<bool> awaitTurn(std::shared_ptr<QueuedRequest> queued);
     Awaitable<bool> send(const CallerResponse& response, bool isHead);
+    /// Writes to the caller. Returns false when the connection was closed, also because the caller reads too slowly.
+    template <std::size_t count> Awaitable<bool> write(std::array<asio::const_buffer, count> buffers);
     /// Encodes the header of a response, for another entry instance with its outcome.
     std::string encodeHead(const CallerResponse& response, std::optional<std::size_t> bodyBytes) const;
     /// Responds to a request that is malformed or was not received completely. receive() then closes the connection.
@@ -118,6 +99,7 @@
     std::shared_ptr<SessionContext> context;
     RequestSource source;
     beast::flat_buffer buffer;
+    std::shared_ptr<ConnectionMemory> connectionMemory;
     /// Requests in the order of arrival. Only the response to the first one may be sent.
     std::deque<std::shared_ptr<QueuedRequest>> queue;
     bool isReading = false; ///< A request is being received.
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -522,19 +522,19 @@
                     ResultCode::NotRunRetryBudget, "the retry budget of service {} is exhausted", job.service);
                 break;
             }
-            const std::optional<ServerResponse> response = co_await this->attemptThroughPeer(job);
+            std::optional<ServerResponse> response = co_await this->attemptThroughPeer(job);
             if (!response)
                 continue;
             if (context->isCancelled)
                 break;
             if (response->wasStreamed) {
                 co_return this->finish(job,
-                    Outcome { .response = response->message,
+                    Outcome { .response = std::move(response->message),
                         .wasStreamed = true,
                         .isTruncated = response->end != AttemptEnd::Answered });
             }
             if (response->end == AttemptEnd::Answered)
-                co_return this->finish(job, Outcome { .response = response->message });
+                co_return this->finish(job, Outcome { .response = std::move(response->message) });
             if (!requests::isProvenNotRun(response->end))
                 job.mayHaveRun = true;
             last = makeError(requests::codeOfAttempt(response->end), "entry instance {}: {}", job.triedPeers.back(),
@@ -548,7 +548,7 @@
                 = response->end == AttemptEnd::RejectedByPeer || response->end == AttemptEnd::NotDecided;
             const bool hasRun = (job.mayHaveRun || failed) && response->end == AttemptEnd::RejectedByPeer;
             if (isOwnResponse && !hasRun && response->message.status >= 500)
-                co_return this->finish(job, Outcome { .response = response->message });
+                co_return this->finish(job, Outcome { .response = std::move(response->message) });
             break;
         }
         const Placement placement = this->placeRequest(job, now);
@@ -585,7 +585,7 @@
                     ResultCode::NotRunRetryBudget, "the retry budget of service {} is exhausted", job.service);
             break;
         }
-        const std::optional<ServerResponse> response = co_await this->attempt(job, server, placement.estimate);
+        std::optional<ServerResponse> response = co_await this->attempt(job, server, placement.estimate);
         if (!response) {
             last = makeError(
                 ResultCode::NotRunConnectRefused, "no usable connection to backend server {}", server->entry.id);
@@ -599,15 +599,16 @@
             break;
         if (response->wasStreamed) {
             co_return this->finish(job,
-                Outcome { .response = response->message,
+                Outcome { .response = std::move(response->message),
                     .wasStreamed = true,
                     .isTruncated = response->end != AttemptEnd::Answered });
         }
         if (response->end == AttemptEnd::Answered) {
             const bool retry = response->message.status >= 500 && this->shouldRetry(job, *response, Clock::now());
             if (!retry)
-                co_return this->finish(job, Outcome { .response = response->message });
-            failed = response;
+                co_return this->finish(job, Outcome { .response = std::move(response->message) });
+            failed = std::move(response);
+            context->memory->holdEarlierResponse(failed->message.body.size());
             continue;
         }
         last = makeError(
@@ -623,7 +624,7 @@
                 = responseForError(makeError(ResultCode::UnknownCancelled, "the caller closed the connection"),
                     job.request->id, this->settings.names, std::nullopt) });
     if (failed)
-        co_return this->finish(job, Outcome { .response = failed->message });
+        co_return this->finish(job, Outcome { .response = std::move(failed->message) });
     if (job.mayHaveRun && outcomeOf(last.code) == clementinefall::Outcome::NotRun)
         last = makeError(
             ResultCode::UnknownConnectionLost, "an earlier attempt may have run; last failure: {}", last.message);
@@ -703,7 +704,7 @@
     if (job.route->isIdempotent())
         this->repeatableExchanges.insert(connection);
     ServerResponse response = co_await connection->exchange(
-        job.request, std::move(head), this->settings.names, job.deadline, *context->sink);
+        job.request, std::move(head), this->settings.names, job.deadline, *context->sink, context->memory);
     this->repeatableExchanges.erase(connection);
     context->onCancel = {};
     job.exchanging += Clock::now() - sentAt;
@@ -745,6 +746,11 @@
         server->awaitingResponseSince = hasResponded && server->inFlight > 0 ? now : TimePoint {};
     if (response.end == AttemptEnd::TimedOut)
         this->connections.closeIdle(server);
+    if (response.isExcessive) {
+        recordExcessiveResponse(*server, now);
+        logWarning("server_response_excessive",
+            { { "server", server->entry.id }, { "service", server->entry.service }, { "why", response.detail } });
+    }
     if (response.end != AttemptEnd::CancelledSent)
         recordAttempt(*server, !isServerFault(response));
     if (response.end == AttemptEnd::ShedByServer && job.object != 0)
@@ -1058,8 +1064,8 @@
         std::string head = encodePeerRequestHead(*job.request, this->settings.names, servers, job.deadline - sentAt);
         context->onCancel = [connection] { connection->close(); };
         PeerResponseSink sink(*context->sink);
-        ServerResponse response
-            = co_await connection->exchange(job.request, std::move(head), this->settings.names, job.deadline, sink);
+        ServerResponse response = co_await connection->exchange(
+            job.request, std::move(head), this->settings.names, job.deadline, sink, context->memory);
         context->onCancel = {};
         job.exchanging += Clock::now() - sentAt;
         applyPeerOutcome(response);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "forwarding/configuration.h"
 #include "forwarding/forwardingmetrics.h"
+#include "forwarding/memorybudget.h"
 #include "forwarding/peerforwarding.h"
 #include "forwarding/permitclient.h"
 #include "forwarding/placement.h"
@@ -37,6 +38,7 @@
 struct RequestContext {
     std::shared_ptr<ForwardedRequest> request;
     ResponseSink* sink = nullptr; ///< Receives a streamed response.
+    std::shared_ptr<MessageMemory> memory; ///< Accounts for the request and its response.
     bool isCancelled = false; ///< The caller closed the connection.
     bool isAborted = false; ///< The instance is stopping and no longer waits for the response.
     bool isStreaming = false; ///< The response is being streamed, or waits for its turn on the caller's connection.
--- a/src/libs/forwarding/peerforwarding.h
+++ b/src/libs/forwarding/peerforwarding.h
@@ -62,6 +62,7 @@
     /// The server that created the response, if it leaves.
     const std::optional<LeavingServer>& leavingServer() const { return this->leaving; }
     Awaitable<bool> write(std::string_view chunk) override { return this->sink.write(chunk); }
+    bool canPassOn() const override { return this->sink.canPassOn(); }
 
 private:
     ResponseSink& sink;
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -2,13 +2,13 @@
 
 #include "base/log.h"
 #include "http/growingbody.h"
+#include "http/readsome.h"
 #include "http/sockets.h"
 #include "http/spawn.h"
 #include "http/syntaxerror.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -42,6 +42,9 @@
 /// faulty server could fill the memory with one that never ends.
 constexpr std::size_t maximumUnparsedBytes = maximumResponseHeaderBytes + 64U * 1024U;
 
+/// Limit of one read of a header; few are longer.
+constexpr std::size_t maximumHeaderReadBytes = 4096;
+
 /// Bodies up to this size are written together with the header; they fit into the socket's send buffer.
 constexpr std::size_t maximumBytesWithHeader = 16UL * 1024;
 
@@ -109,6 +112,15 @@
     TimePoint deadline {}; ///< Of the request.
     TimePoint streamingDeadline {}; ///< Moves on while the response is passed on.
     std::size_t unrelatedBytes = 0; ///< Of the bodies of responses to other requests.
+    bool isExcessive = false; ///< A limit of what a server may send was exceeded.
+    std::shared_ptr<MessageMemory> memory;
+    std::optional<TimePoint> waitsForMemorySince;
+
+    bool canBePassedOnEarly() const
+    {
+        return !this->isForOtherRequest && this->result.end == AttemptEnd::Answered && this->result.message.status < 500
+            && !this->parser->get().body().empty();
+    }
 };
 
 ServerConnection::ServerConnection(const asio::any_io_executor& executor, ServerPointer connectionServer)
@@ -183,11 +195,12 @@
 }
 
 Awaitable<ServerResponse> ServerConnection::exchange(std::shared_ptr<const ForwardedRequest> request, std::string head,
-    const WireNames& names, TimePoint deadline, ResponseSink& sink)
+    const WireNames& names, TimePoint deadline, ResponseSink& sink, std::shared_ptr<MessageMemory> memory)
 {
     const auto self = this->shared_from_this();
     PendingResponse pending;
     pending.request = request;
+    pending.memory = std::move(memory);
     pending.deadline = deadline;
     pending.streamingDeadline = deadline + maximumStreamingOverrun;
     try {
@@ -231,8 +244,7 @@
         pending.parser->body_limit(boost::none);
         if (request->method == "HEAD")
             pending.parser->skip(true);
-        const auto [error, read]
-            = co_await beast::http::async_read_header(this->socket, this->buffer, *pending.parser, useTuple);
+        const beast::error_code error = co_await this->readHeader(pending);
         if (error)
             co_return this->failure(pending, error);
         const unsigned status = pending.parser->get().result_int();
@@ -240,6 +252,7 @@
             if (++interimResponses > maximumInterimResponses) {
                 pending.result.detail = "received too many interim responses";
                 pending.isInvalid = true;
+                pending.isExcessive = true;
                 co_return this->failure(pending, {});
             }
             continue; // The final response follows.
@@ -259,6 +272,7 @@
         co_return this->failure(pending, {});
     }
     this->watchdog.cancel();
+    this->buffer.shrink_to_fit();
     this->lastUsedAt = Clock::now();
     this->hasCarriedRequest = true;
     this->reusable = this->isRequestWritten && pending.parser->keep_alive() && !pending.parser->need_eof()
@@ -342,6 +356,56 @@
     this->armWatchdog(std::min(stalledAt, pending.streamingDeadline));
 }
 
+void ServerConnection::recordHeldBytes(const PendingResponse& pending)
+{
+    pending.memory->holdResponse(pending.parser->get().body().size() + this->buffer.size(), this->server->entry.id);
+}
+
+Awaitable<void> ServerConnection::waitForMemory(PendingResponse& pending)
+{
+    const auto self = this->shared_from_this();
+    if (!pending.waitsForMemorySince)
+        pending.waitsForMemorySince = Clock::now();
+    co_await pending.memory->budget().waitForRoom(this->socket.get_executor(), *pending.waitsForMemorySince);
+}
+
+Awaitable<beast::error_code> ServerConnection::readHeader(PendingResponse& pending)
+{
+    beast::error_code error;
+    while (!error && !pending.parser->is_header_done()) {
+        const std::size_t allowed = std::min(pending.memory->readAllowance(), maximumHeaderReadBytes);
+        if (allowed > 0)
+            error = co_await http::readSome(this->socket, this->buffer, *pending.parser, allowed);
+        else
+            co_await this->waitForMemory(pending);
+        if (this->hasTimedOut || this->isCancelled)
+            error = asio::error::operation_aborted;
+        this->recordHeldBytes(pending);
+    }
+    co_return error;
+}
+
+Awaitable<bool> ServerConnection::passOn(PendingResponse& pending, ResponseSink& sink)
+{
+    std::string& body = pending.parser->get().body();
+    // A caller that reads slowly, or waits for an earlier response, is no stall of the server.
+    this->watchdog.cancel();
+    const TimePoint passedOnAt = Clock::now();
+    if (!pending.result.wasStreamed) {
+        pending.result.wasStreamed = true;
+        const auto length = pending.parser->content_length();
+        const std::optional<std::size_t> known = length ? std::optional<std::size_t>(*length) : std::nullopt;
+        if (!co_await sink.begin(pending.result.message, known))
+            co_return false;
+    }
+    if (!co_await sink.write(body))
+        co_return false;
+    pending.streamingDeadline += Clock::now() - passedOnAt;
+    std::string().swap(body);
+    this->recordHeldBytes(pending);
+    co_return true;
+}
+
 Awaitable<bool> ServerConnection::readBody(PendingResponse& pending, ResponseSink& sink)
 {
     auto& parser = *pending.parser;
@@ -349,45 +413,40 @@
     while (!parser.is_done()) {
         if (pending.result.wasStreamed)
             this->armStreamingWatchdog(pending);
-        const auto [error, bytes] = co_await beast::http::async_read_some(this->socket, this->buffer, parser, useTuple);
-        if (error) {
-            pending.error = error;
-            co_return false;
-        }
-        if (body.size() < maximumBufferedBytes)
+        const std::size_t allowed = pending.memory->readAllowance();
+        if (allowed == 0) {
+            if (pending.canBePassedOnEarly() && sink.canPassOn()) {
+                if (!co_await this->passOn(pending, sink))
+                    co_return false;
+            } else {
+                co_await this->waitForMemory(pending);
+            }
+            if (this->hasTimedOut || this->isCancelled)
+                co_return false;
             continue;
+        }
+        pending.error = co_await http::readSome(this->socket, this->buffer, parser, allowed);
+        if (pending.error)
+            co_return false;
         if (pending.isForOtherRequest) {
             pending.unrelatedBytes += body.size();
+            body.clear();
             if (pending.unrelatedBytes > maximumUnrelatedBytes) {
                 pending.result.detail = "received an unlimited response to another request";
                 pending.isInvalid = true;
+                pending.isExcessive = true;
                 co_return false;
             }
         }
-        if (!pending.isForOtherRequest) {
-            // A caller that reads slowly, or waits for an earlier response, is no stall of the server.
-            this->watchdog.cancel();
-            const TimePoint passedOnAt = Clock::now();
-            if (!pending.result.wasStreamed) {
-                pending.result.wasStreamed = true;
-                const auto length = parser.content_length();
-                const std::optional<std::size_t> known = length ? std::optional<std::size_t>(*length) : std::nullopt;
-                if (!co_await sink.begin(pending.result.message, known))
-                    co_return false;
-            }
-            if (!co_await sink.write(body))
-                co_return false;
-            pending.streamingDeadline += Clock::now() - passedOnAt;
-        }
-        body.clear();
+        this->recordHeldBytes(pending);
+        const std::size_t passedOnBytes = pending.result.wasStreamed ? 1 : maximumBufferedBytes;
+        if (body.size() >= passedOnBytes && !co_await this->passOn(pending, sink))
+            co_return false;
     }
     if (pending.isForOtherRequest)
         co_return true;
-    if (pending.result.wasStreamed) {
-        if (!body.empty() && !co_await sink.write(body))
-            co_return false;
-        body.clear();
-    }
+    if (pending.result.wasStreamed && !body.empty() && !co_await this->passOn(pending, sink))
+        co_return false;
     pending.result.message.body = std::move(body);
     co_return true;
 }
@@ -408,6 +467,11 @@
     else if (pending.parser)
         result.end = http::isSyntaxError(error) || !error ? AttemptEnd::ResponseInvalid : AttemptEnd::LostAfterWrite;
     result.isConnectionLost = result.end == AttemptEnd::LostAfterWrite;
+    // A streamed response that goes on long after the deadline has no end, and the parser's limits no other reason.
+    result.isExcessive = pending.isExcessive || error == beast::http::error::header_limit
+        || error == beast::http::error::buffer_overflow
+        || (result.end == AttemptEnd::TimedOut && result.wasStreamed && Clock::now() >= pending.streamingDeadline);
+    pending.memory->holdResponse(0, {});
     this->close();
     return result;
 }
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwardedrequest.h"
+#include "forwarding/memorybudget.h"
 #include "forwarding/servernotice.h"
 #include "forwarding/servercatalog.h"
 #include "http/awaitable.h"
@@ -25,6 +26,7 @@
     bool hasSeal = false; ///< See WireNames::responseSeal.
     bool wasStreamed = false; ///< The response, or its first part, was passed to the sink.
     bool isConnectionLost = false; ///< The connection broke between the request and its response.
+    bool isExcessive = false; ///< The server sent more than any response may have, and would go on.
     std::optional<LoadReport> load;
     std::optional<RateLimitState> rateLimit; ///< Empty unless the server itself responded to the request.
     std::string detail; ///< Reason for a failure.
@@ -38,6 +40,8 @@
     /// closed the connection.
     virtual Awaitable<bool> begin(const CallerResponse& head, std::optional<std::size_t> length) = 0;
     virtual Awaitable<bool> write(std::string_view chunk) = 0;
+    /// Whether begin() or write() would reach the caller now, and not wait for responses to earlier requests.
+    virtual bool canPassOn() const = 0;
 };
 
 /// Timeout for a new connection to \a server. Well under a second, to leave time for another server.
@@ -49,7 +53,7 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
     /// Response bodies below this size are buffered completely before they are passed on, so that a truncated one can
-    /// be replaced by a retry.
+    /// be replaced by a retry. When memory is short, they are passed on from their first bytes.
     static constexpr std::size_t maximumBufferedBytes = 256UL * 1024;
 
     ServerConnection(const asio::any_io_executor& executor, ServerPointer connectionServer);
@@ -58,8 +62,9 @@
     Awaitable<bool> connect(Duration timeout);
 
     /// Sends a request and receives its response, until \a deadline. Responses to other requests are discarded.
+    /// \a memory accounts for the bytes of the response.
     Awaitable<ServerResponse> exchange(std::shared_ptr<const ForwardedRequest> request, std::string head,
-        const WireNames& names, TimePoint deadline, ResponseSink& sink);
+        const WireNames& names, TimePoint deadline, ResponseSink& sink, std::shared_ptr<MessageMemory> memory);
 
     /// Called as soon as the header of a response of the server has arrived, if it contains a notice.
     std::function<void(const ServerNotice&)> onNotice;
@@ -81,8 +86,15 @@
     void armWatchdog(TimePoint deadline);
     void armStreamingWatchdog(const PendingResponse& pending);
     Awaitable<void> writeBody(std::shared_ptr<const ForwardedRequest> request);
+    Awaitable<beast::error_code> readHeader(PendingResponse& pending);
     /// Reads the body. Returns false when it is incomplete or the sink failed.
     Awaitable<bool> readBody(PendingResponse& pending, ResponseSink& sink);
+    /// Passes on what was read of the body. Returns false when the sink failed.
+    Awaitable<bool> passOn(PendingResponse& pending, ResponseSink& sink);
+    /// Waits until the response may hold more, or for a short time.
+    Awaitable<void> waitForMemory(PendingResponse& pending);
+    /// Updates the account for the response.
+    void recordHeldBytes(const PendingResponse& pending);
     /// Validates the header of a response and fills in the result.
     void processHeader(PendingResponse& pending, const WireNames& names);
     /// Closes the connection and returns the result of the failed exchange.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -781,7 +781,137 @@
     fixture.runUntil([&] { return fixture.first.closedByPeer >= 1; });
     constexpr std::size_t boundedBytes = 16UL * 1024 * 1024;
     CHECK(fixture.first.repeatedBytes < boundedBytes);
-    CHECK(fixture.exchange(requestBytes("r2", "/safe/2"), "whole").starts_with("HTTP/1.1 200"));
+    // The server is left out for a moment, like one that fails, and used again.
+    fixture.addServer("s2", fixture.second.port());
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = "r" + std::to_string(i + 2);
+        CHECK(fixture.exchange(requestBytes(id, "/safe/" + id), "whole").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(fixture.first.requests.size() == 1);
+    fixture.catalog->remove("s2", Clock::now());
+    fixture.context.run_for(milliseconds(300));
+    CHECK(fixture.exchange(requestBytes("r9", "/safe/9"), "whole").starts_with("HTTP/1.1 200"));
+    CHECK(fixture.first.requests.size() == 2);
+}
+
+TEST_CASE("Many callers of servers that send without end share a bounded amount of memory")
+{
+    Fixture fixture;
+    constexpr std::uint64_t limit = 1'000'000;
+    fixture.sessions->memory = std::make_shared<MemoryBudget>(limit);
+    const auto& memory = fixture.sessions->memory;
+    std::string status = "200 OK";
+    std::string head;
+    std::string repeated(65536, 'n');
+    SECTION("of bodies without a length") { head = "\r\n"; }
+    SECTION("of bodies with a length that nobody can mean") { head = "Content-Length: 4000000000000000000\r\n\r\n"; }
+    SECTION("of chunks")
+    {
+        head = "Transfer-Encoding: chunked\r\n\r\n";
+        repeated = "10000\r\n" + repeated + "\r\n";
+    }
+    SECTION("of failures, which are not passed on at once")
+    {
+        status = "500 Failed";
+        head = "\r\n";
+    }
+    fixture.first.script = [&](const std::string& request) {
+        const std::string id = idOf(request);
+        if (id == "own")
+            return ScriptedResponse { responseBytes(id, "whole") };
+        return ScriptedResponse { .bytes = "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\nX-Seal: s\r\n" + head,
+            .repeated = repeated };
+    };
+    ServerEntry entry = fixture.catalog->find("s1")->entry;
+    entry.slots = 100;
+    ++entry.sequence;
+    REQUIRE(fixture.catalog->apply(entry, Clock::now()));
+    std::vector<std::shared_ptr<tcp::socket>> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(fixture.open(requestBytes("r" + std::to_string(i), "/file/" + std::to_string(i))));
+        callers.back()->set_option(tcp::socket::receive_buffer_size(4096));
+    }
+    fixture.runUntil([&] {
+        return fixture.first.requests.size() == callers.size() && memory->pressure() != MemoryPressure::None;
+    });
+    fixture.context.run_for(milliseconds(300));
+    CHECK(memory->peakBytes() <= limit);
+    CHECK(fixture.exchange(requestBytes("own", "/safe/1"), "whole").starts_with("HTTP/1.1 200"));
+    for (const auto& caller : callers)
+        caller->close();
+    fixture.runUntil([&] { return memory->use().usedBytes < limit / 100; });
+}
+
+TEST_CASE("When the memory for messages is exhausted")
+{
+    Fixture fixture;
+    constexpr std::uint64_t limit = 2'000'000;
+    fixture.sessions->memory = std::make_shared<MemoryBudget>(limit);
+    const auto& memory = fixture.sessions->memory;
+    auto filling = std::make_unique<MessageMemory>(memory->open([] {}));
+
+    SECTION("a new request is rejected at once as not run, and the next one is served when there is room again")
+    {
+        filling->holdResponse(limit, "s1");
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "2017");
+        CHECK(text.starts_with("HTTP/1.1 503"));
+        CHECK(text.find("Retry-After: ") != std::string::npos);
+        CHECK(fixture.first.requests.empty());
+        filling.reset();
+        CHECK(fixture.exchange(requestBytes("r2", "/once/2", "POST"), "whole").starts_with("HTTP/1.1 200"));
+    }
+
+    SECTION("a caller that does not read is closed, and its server freed")
+    {
+        fixture.first.script = [](const std::string& request) {
+            return ScriptedResponse { .bytes = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request) + "\r\nX-Seal: s\r\n\r\n",
+                .repeated = std::string(65536, 'n') };
+        };
+        const auto caller = fixture.open(requestBytes("r1", "/file/1"));
+        fixture.context.run_for(milliseconds(300));
+        REQUIRE(fixture.first.repeatedBytes > 0);
+        filling->holdResponse(limit, "s1");
+        memory->relieve(Clock::now() + callerBlockedTime);
+        CHECK(memory->closedConnections() == 1);
+        fixture.runUntil([&] { return fixture.first.closedByPeer == 1 && fixture.sessions->inProgress == 0; });
+    }
+
+    SECTION("responses under way are passed on whole")
+    {
+        filling->holdResponse(limit * 8 / 10, "s1");
+        const std::string body(200'000, 'b');
+        fixture.first.script
+            = [&body](const std::string& request) { return ScriptedResponse { responseBytes(idOf(request), body) }; };
+        const std::string text = fixture.exchange(requestBytes("r1", "/safe/1"), body);
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK(text.ends_with(body));
+    }
+
+    SECTION("long responses behind one that takes its time wait at their servers, and all arrive in order")
+    {
+        filling->holdResponse(limit * 6 / 10, "s1");
+        fixture.first.script = [](const std::string& request) {
+            const std::string id = idOf(request);
+            return ScriptedResponse { .bytes = responseBytes(id, std::string(200'000, id.back())),
+                .isHeld = id == "r0" };
+        };
+        std::string requests;
+        for (int i = 0; i < 8; ++i)
+            requests += requestBytes("r" + std::to_string(i), "/safe/" + std::to_string(i));
+        const auto caller = fixture.open(requests);
+        fixture.runUntil([&] { return fixture.first.requests.size() == 8; });
+        fixture.context.run_for(milliseconds(200));
+        CHECK(memory->peakBytes() <= limit);
+        fixture.first.release();
+        const std::string text = fixture.receive(caller, std::string(200'000, '7'));
+        std::size_t at = 0;
+        for (int i = 0; i < 8; ++i) {
+            INFO("response " << i);
+            const std::size_t found = text.find(std::string(200'000, static_cast<char>('0' + i)), at);
+            REQUIRE(found != std::string::npos);
+            at = found;
+        }
+    }
 }
 
 TEST_CASE("A process that was paused")
--- a/src/libs/forwarding/tst_ratelimitfleet.cpp
+++ b/src/libs/forwarding/tst_ratelimitfleet.cpp
@@ -15,6 +15,7 @@
 public:
     Awaitable<bool> begin(const CallerResponse&, std::optional<std::size_t>) override { co_return true; }
     Awaitable<bool> write(std::string_view) override { co_return true; }
+    bool canPassOn() const override { return true; }
 };
 
 /// Several entry instances in one process, which exchange permit messages over a simulated network. The first one is
@@ -184,11 +185,13 @@
         auto requestContext = std::make_shared<RequestContext>();
         requestContext->request = request;
         requestContext->sink = &this->sink;
+        requestContext->memory = std::make_shared<MessageMemory>(this->memory->open([] {}));
         const Forwarder::Outcome outcome = co_await instance->forward(requestContext);
         co_return outcome.response.status;
     }
 
     IgnoringSink sink;
+    std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>(64'000'000);
     std::size_t requestCount = 0;
 };
 
