Parse all that one read of a body has brought

Callers of a server that sends chunks of one byte, and of the same instance, waited: since each chunk was parsed, counted and passed on by itself. A body is now parsed as far as it has arrived.

--- a/src/libs/http/readsome.h
+++ b/src/libs/http/readsome.h
@@ -22,7 +22,8 @@
 Awaitable<beast::error_code> readSome(asio::ip::tcp::socket& socket, beast::flat_buffer& buffer,
     beast::http::basic_parser<isRequest>& parser, std::size_t maximumBytes, asio::cancellation_slot cancellation = {})
 {
-    parser.eager(false);
+    // A body is parsed as far as it has arrived; it may come in chunks of one byte. A header is left by itself.
+    parser.eager(parser.is_header_done());
     const auto parse = [&buffer, &parser] {
         beast::error_code error;
         buffer.consume(parser.put(buffer.data(), error));
