State the server's length in the response to HEAD

The length was dropped with the fields of the connection and made anew from the body, which is empty here. It is now kept beside the body and stated again, also through another instance.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -486,7 +486,7 @@
 
 Awaitable<bool> CallerSession::send(const CallerResponse& response, bool isHead)
 {
-    const std::string head = this->encodeHead(response, response.body.size());
+    const std::string head = this->encodeHead(response, response.announcedBytes.value_or(response.body.size()));
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::const_buffer {} };
     if (!isHead && response.status != 204 && response.status != 304)
         buffers[1] = asio::buffer(response.body);
--- a/src/libs/forwarding/forwardedrequest.h
+++ b/src/libs/forwarding/forwardedrequest.h
@@ -60,6 +60,7 @@
     std::string reason;
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
+    std::optional<std::size_t> announcedBytes; ///< Size of the body, when the response to HEAD states it.
     bool closesConnection = false;
     ResultCode code = ResultCode::Answered; ///< For logs and metrics.
     std::optional<LeavingServer> leavingServer; ///< The server that created it, if it leaves; for other instances.
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -336,6 +336,9 @@
         if (!notice.isEmpty())
             this->onNotice(notice);
         if (this->server->isLeaving)
+    const auto length = pending.parser->content_length();
+    if (pending.request->method == "HEAD" && length)
+        result.message.announcedBytes = static_cast<std::size_t>(*length);
             result.message.leavingServer = { this->server->entry.id, this->server->entry.startTimeMs };
     }
     result.message.status = status;
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -183,6 +183,23 @@
     }
 
     SECTION("gets 404 without a route, and 503 before the first configuration")
+    SECTION("for the header alone gets the length that its server stated, RFC 9110 section 9.3.2")
+    {
+        fixture.first.script = [](const std::string& request) {
+            const std::string id = idOf(request);
+            return ScriptedResponse { request.starts_with("HEAD")
+                    ? "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nContent-Length: 1234\r\n\r\n"
+                    : responseBytes(id, "whole") };
+        };
+        std::string head = requestBytes("r1", "/safe/1");
+        head.replace(0, 3, "HEAD");
+        const auto caller = fixture.open(head + requestBytes("r2", "/safe/2"));
+        const std::string text = fixture.receive(caller, "whole");
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK(text.find("Content-Length: 1234\r\n") < text.find("X-Id: r2"));
+        CHECK(text.ends_with("\r\n\r\nwhole"));
+    }
+
     {
         CHECK(fixture.exchange(requestBytes("r1", "/none/"), "4003").starts_with("HTTP/1.1 404"));
         Fixture unconfigured;
