Keep the cold time after an evacuation when an instance finds itself stranded

Callers would get their requests to a server that crashes under them: when failures of this instance's own links are found out, the assumed cold times of the servers that failed were set back to what they were before, also when an evacuation of their zone had ended in between and set a longer one.

--- a/src/libs/forwarding/backendserver.cpp
+++ b/src/libs/forwarding/backendserver.cpp
@@ -107,6 +107,20 @@
     server.backoffUntil = now + backoffAfter(server.connectFailures++);
 }
 
+void assumeCold(BackendServer& server, TimePoint until, ColdAssumption& assumption)
+{
+    if (server.assumedColdUntil != assumption.assumed || assumption.assumed == TimePoint {})
+        assumption.before = server.assumedColdUntil;
+    server.assumedColdUntil = std::max(server.assumedColdUntil, until);
+    assumption.assumed = server.assumedColdUntil;
+}
+
+void takeBack(BackendServer& server, const ColdAssumption& assumption)
+{
+    if (server.assumedColdUntil == assumption.assumed)
+        server.assumedColdUntil = assumption.before;
+}
+
 void recordExcessiveResponse(BackendServer& server, TimePoint now)
 {
     server.backoffUntil = std::max(server.backoffUntil, now + backoffAfter(server.excessiveResponses++));
--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -121,6 +121,18 @@
 /// Records the result of a connect. Consecutive failures exclude the server for a backoff that doubles up to 2 s.
 void recordConnect(BackendServer& server, bool succeeded, Duration duration, TimePoint now);
 
+/// An assumption that a server is cold, which can be taken back.
+struct ColdAssumption {
+    TimePoint before {}; ///< BackendServer::assumedColdUntil without the assumption.
+    TimePoint assumed {}; ///< The same with it.
+};
+
+/// Assumes that the server is cold at least until \a until. \a assumption is kept over several calls.
+void assumeCold(BackendServer& server, TimePoint until, ColdAssumption& assumption);
+
+/// Takes the assumption back, unless something else has set another time since then.
+void takeBack(BackendServer& server, const ColdAssumption& assumption);
+
 /// Records a response that went on beyond all limits. Excludes the server like a failed connect.
 void recordExcessiveResponse(BackendServer& server, TimePoint now);
 
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -958,9 +958,8 @@
 {
     // A server that restarts under its old id is cold before its entry in the store reports it.
     const auto service = this->currentConfiguration->services.find(server->entry.service);
-    this->coldTimesBeforeFailure.emplace(server, server->assumedColdUntil);
     if (service != this->currentConfiguration->services.end())
-        server->assumedColdUntil = std::max(server->assumedColdUntil, now + service->second.coldTime);
+        assumeCold(*server, now + service->second.coldTime, this->coldAssumptions[server]);
     server->cachedObjects.clear();
     this->connections.closeIdle(server);
     this->reachability->recordFailure(server, now);
@@ -969,7 +968,7 @@
 void Forwarder::onServerConnected()
 {
     this->reachability->recordConnected();
-    this->coldTimesBeforeFailure.clear();
+    this->coldAssumptions.clear();
 }
 
 void Forwarder::onReachabilityChange()
@@ -977,8 +976,8 @@
     const TimePoint now = Clock::now();
     if (this->isStranded()) {
         // The failures were those of this instance's own links: no server is cold or in backoff because of them.
-        for (const auto& [server, assumedColdUntil] : this->coldTimesBeforeFailure)
-            server->assumedColdUntil = assumedColdUntil;
+        for (const auto& [server, assumption] : this->coldAssumptions)
+            takeBack(*server, assumption);
         // Connections may live on while new ones fail. Without any response since the first failure, they do not.
         const bool areConnectionsSilent = this->lastResponseAt < this->reachability->state().failingSince;
         if (areConnectionsSilent) {
@@ -994,7 +993,7 @@
             server->backoffUntil = std::min(server->backoffUntil, now);
         }
     }
-    this->coldTimesBeforeFailure.clear();
+    this->coldAssumptions.clear();
     if (this->onReachabilityChanged)
         this->onReachabilityChanged();
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -253,8 +253,8 @@
     ServerConnectionPool connections;
     std::shared_ptr<ReachabilityMonitor> reachability;
     TimePoint lastResponseAt {}; ///< From any backend server.
-    /// Assumed cold times before failed connects, by server. The failures may be those of this instance's own links.
-    std::map<ServerPointer, TimePoint> coldTimesBeforeFailure;
+    /// After failed connects, by server. The failures may be those of this instance's own links.
+    std::map<ServerPointer, ColdAssumption> coldAssumptions;
     std::set<std::shared_ptr<ServerConnection>> repeatableExchanges; ///< In progress, of idempotent requests.
     std::set<ServerPointer> pausedServers; ///< Until the end of the pause is logged.
     std::map<std::string, ServerPointer> peerEndpoints; ///< By the name of the instance.
