--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -915,7 +915,7 @@
 
 std::shared_ptr<ServerConnection> Forwarder::createConnection(const ServerPointer& server)
 {
-    auto connection = std::make_shared<ServerConnection>(this->executor, server);
+    auto connection = std::make_shared<ServerConnection>(this->executor, server, this->settings.streaming);
     connection->onNotice = [weak = this->weak_from_this(), server](const ServerNotice& notice) {
         if (const auto self = weak.lock())
             self->applyNotice(server, notice, Clock::now());
@@ -1026,7 +1026,7 @@
     auto connection = this->connections.acquire(endpoint, start);
     if (connection)
         co_return connection;
-    connection = std::make_shared<ServerConnection>(this->executor, endpoint);
+    connection = std::make_shared<ServerConnection>(this->executor, endpoint, this->settings.streaming);
     context->onCancel = [connection] { connection->close(); };
     const Duration timeout = std::min<Duration>(connectTimeout(*endpoint), job.deadline - start);
     const bool isConnected = co_await connection->connect(timeout);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -31,6 +31,7 @@
     double retryRatio = 0.2; ///< Retries per request to a service that the whole fleet may send.
     /// Retries of this instance beyond that ratio in each budget window, until setRetryAllowance() is called.
     unsigned retryAllowance = 0;
+    StreamingLimits streaming;
     std::function<Duration()> sinceBoot = timeSinceBoot; ///< Clock that includes the suspension of the machine.
 };
 
--- a/src/libs/forwarding/scriptedserver.h
+++ b/src/libs/forwarding/scriptedserver.h
@@ -3,6 +3,7 @@
 #include "http/awaitable.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -22,6 +23,8 @@
     bool resets = false; ///< Resets the connection after the bytes.
     bool isHeld = false; ///< Sends nothing until release().
     std::string repeated {}; ///< Sent again and again after the bytes, until the peer closes the connection.
+    std::vector<std::string> parts {}; ///< Sent after the bytes, each after a pause.
+    Duration pause {}; ///< Before each of the parts.
 };
 
 /// A backend server that responds by a script and records the requests. One request at a time per connection.
@@ -119,6 +122,20 @@
             connection->socket.close(ignored);
         if (!connection->response.repeated.empty())
             this->repeat(connection);
+        if (!connection->response.parts.empty())
+            this->sendPart(connection, 0);
+    }
+
+    void sendPart(const ConnectionPointer& connection, std::size_t index)
+    {
+        const auto timer
+            = std::make_shared<asio::steady_timer>(connection->socket.get_executor(), connection->response.pause);
+        timer->async_wait([this, connection, index, timer](beast::error_code) {
+            beast::error_code error;
+            asio::write(connection->socket, asio::buffer(connection->response.parts[index]), error);
+            if (!error && index + 1 < connection->response.parts.size())
+                this->sendPart(connection, index + 1);
+        });
     }
 
     void repeat(const ConnectionPointer& connection)
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -48,12 +48,6 @@
 /// Bodies up to this size are written together with the header; they fit into the socket's send buffer.
 constexpr std::size_t maximumBytesWithHeader = 16UL * 1024;
 
-/// Maximum time between two reads of a streamed response after the deadline of the request, and its maximum time beyond
-/// that deadline, without the time for passing it on. No caller waits that long, so a longer response comes from a
-/// faulty server.
-constexpr seconds maximumStall { 10 };
-constexpr seconds maximumStreamingOverrun { 10 };
-
 /// Connect timeout: this base plus a number of round trips.
 constexpr milliseconds connectTimeoutBase { 250 };
 constexpr unsigned connectRoundTrips = 3;
@@ -123,10 +117,12 @@
     }
 };
 
-ServerConnection::ServerConnection(const asio::any_io_executor& executor, ServerPointer connectionServer)
+ServerConnection::ServerConnection(
+    const asio::any_io_executor& executor, ServerPointer connectionServer, StreamingLimits streamingLimits)
     : socket(executor)
     , watchdog(executor)
     , server(std::move(connectionServer))
+    , limits(streamingLimits)
     , buffer(maximumUnparsedBytes)
     , idleLimit(defaultIdleLimit)
 {
@@ -202,7 +198,7 @@
     pending.request = request;
     pending.memory = std::move(memory);
     pending.deadline = deadline;
-    pending.streamingDeadline = deadline + maximumStreamingOverrun;
+    pending.streamingDeadline = deadline + this->limits.maximumOverrun;
     try {
         co_return co_await this->sendAndReceive(pending, std::move(head), names, deadline, sink);
     } catch (const std::exception& error) {
@@ -336,13 +332,13 @@
         if (!notice.isEmpty())
             this->onNotice(notice);
         if (this->server->isLeaving)
-    const auto length = pending.parser->content_length();
-    if (pending.request->method == "HEAD" && length)
-        result.message.announcedBytes = static_cast<std::size_t>(*length);
             result.message.leavingServer = { this->server->entry.id, this->server->entry.startTimeMs };
     }
     result.message.status = status;
     result.message.reason = std::string(header.reason());
+    const auto length = pending.parser->content_length();
+    if (pending.request->method == "HEAD" && length)
+        result.message.announcedBytes = static_cast<std::size_t>(*length);
     const auto options = header[http::Field::connection];
     for (const auto& entry : header) {
         const std::string_view name { entry.name_string().data(), entry.name_string().size() };
@@ -354,8 +350,7 @@
 
 void ServerConnection::armStreamingWatchdog(const PendingResponse& pending)
 {
-    // A response that has begun is delivered also after the deadline, unless it stalls or never ends.
-    const TimePoint stalledAt = std::max<TimePoint>(pending.deadline, Clock::now() + maximumStall);
+    const TimePoint stalledAt = std::max<TimePoint>(pending.deadline, Clock::now() + this->limits.maximumStall);
     this->armWatchdog(std::min(stalledAt, pending.streamingDeadline));
 }
 
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -44,6 +44,15 @@
     virtual bool canPassOn() const = 0;
 };
 
+/// When a streamed response is cut. A response that has begun is delivered also after the deadline of its request,
+/// unless it stalls or never ends.
+struct StreamingLimits {
+    /// Between two reads after the deadline. No caller waits that long, so a longer pause comes from a faulty server.
+    Duration maximumStall = seconds(10);
+    /// Beyond the deadline, without the time for passing the response on.
+    Duration maximumOverrun = seconds(10);
+};
+
 /// Timeout for a new connection to \a server. Well under a second, to leave time for another server.
 Duration connectTimeout(const BackendServer& server);
 
@@ -56,7 +65,8 @@
     /// be replaced by a retry. When memory is short, they are passed on from their first bytes.
     static constexpr std::size_t maximumBufferedBytes = 256UL * 1024;
 
-    ServerConnection(const asio::any_io_executor& executor, ServerPointer connectionServer);
+    ServerConnection(
+        const asio::any_io_executor& executor, ServerPointer connectionServer, StreamingLimits streamingLimits = {});
 
     /// Connects to the server and records the result in it. Returns false on failure.
     Awaitable<bool> connect(Duration timeout);
@@ -103,6 +113,7 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer watchdog;
     ServerPointer server;
+    StreamingLimits limits;
     beast::flat_buffer buffer;
     TimePoint lastUsedAt {};
     Duration idleLimit;
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -38,6 +38,7 @@
         settings.names = testWireNames();
         settings.retryAllowance = 100;
         settings.sinceBoot = [this] { return this->sinceBoot; };
+        settings.streaming.maximumStall = milliseconds(250);
         this->forwarder = std::make_shared<Forwarder>(this->context.get_executor(), settings, this->catalog);
         this->configure(1, "/safe/");
         this->addServer("s1", this->first.port());
@@ -182,7 +183,6 @@
         CHECK(fixture.first.requests[0].find("X-Server: s1\r\n") != std::string::npos);
     }
 
-    SECTION("gets 404 without a route, and 503 before the first configuration")
     SECTION("for the header alone gets the length that its server stated, RFC 9110 section 9.3.2")
     {
         fixture.first.script = [](const std::string& request) {
@@ -200,6 +200,7 @@
         CHECK(text.ends_with("\r\n\r\nwhole"));
     }
 
+    SECTION("gets 404 without a route, and 503 before the first configuration")
     {
         CHECK(fixture.exchange(requestBytes("r1", "/none/"), "4003").starts_with("HTTP/1.1 404"));
         Fixture unconfigured;
@@ -655,6 +656,27 @@
         CHECK(sent == 2);
     }
 
+    SECTION("whose server pauses after the deadline are cut by a pause that is too long, not by the sum of short ones")
+    {
+        bool stalls = false;
+        SECTION("short pauses") { }
+        SECTION("one long pause") { stalls = true; }
+        const std::string part(1000, 'p');
+        fixture.first.script = [&](const std::string& request) {
+            ScriptedResponse response { .bytes = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request)
+                    + "\r\nX-Seal: s\r\nContent-Length: " + std::to_string(large.size() + 6 * part.size()) + "\r\n\r\n"
+                    + large };
+            response.parts = stalls ? std::vector<std::string> { part + part + part + part + part + part }
+                                    : std::vector<std::string>(6, part);
+            response.pause = stalls ? milliseconds(900) : milliseconds(120);
+            return response;
+        };
+        const std::string text
+            = fixture.exchange(requestBytes("r1", "/brief/1"), part + part + part + part + part + part);
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK(text.ends_with(part) == !stalls);
+    }
+
     SECTION("to a caller that stops reading end after the write timeout, and free the server")
     {
         fixture.sessions->writeTimeout = milliseconds(200);
@@ -848,9 +870,8 @@
         callers.push_back(fixture.open(requestBytes("r" + std::to_string(i), "/file/" + std::to_string(i))));
         callers.back()->set_option(tcp::socket::receive_buffer_size(4096));
     }
-    fixture.runUntil([&] {
-        return fixture.first.requests.size() == callers.size() && memory->pressure() != MemoryPressure::None;
-    });
+    fixture.runUntil(
+        [&] { return fixture.first.requests.size() == callers.size() && memory->pressure() != MemoryPressure::None; });
     fixture.context.run_for(milliseconds(300));
     CHECK(memory->peakBytes() <= limit);
     CHECK(fixture.exchange(requestBytes("own", "/safe/1"), "whole").starts_with("HTTP/1.1 200"));
