Test the memory of two instances when a server sends without end behind the second one

Its first form asked for pressure at both instances at one moment, which need not be: the second one passes on early, so the first one fills later.

--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -213,6 +213,42 @@
         CHECK(fixture.ask("cut", "/file/2").size() < body.size() + whole.find("\r\n\r\n") + 4);
     }
 
+    SECTION("that do not read what a server sends without end hold a bounded amount of memory at both instances")
+    {
+        constexpr std::uint64_t limit = 1'000'000;
+        fixture.stranded.sessions->memory = std::make_shared<MemoryBudget>(limit);
+        fixture.reaching.sessions->memory = std::make_shared<MemoryBudget>(limit);
+        const MemoryBudget& near = *fixture.stranded.sessions->memory;
+        const MemoryBudget& far = *fixture.reaching.sessions->memory;
+        fixture.server.script = [](const std::string& request) {
+            return idOf(request) == "own"
+                ? ScriptedResponse { responseBytes("own", "whole") }
+                : ScriptedResponse { .bytes = "HTTP/1.1 200 OK\r\nX-Id: " + idOf(request) + "\r\nX-Seal: s\r\n\r\n",
+                      .repeated = std::string(65536, 'n') };
+        };
+        REQUIRE(contains(fixture.ask("own", "/safe/1"), "whole"));
+        ServerEntry entry = fixture.reaching.catalog->find("s0")->entry;
+        entry.slots = 100;
+        ++entry.sequence;
+        REQUIRE(fixture.reaching.catalog->apply(entry, Clock::now()));
+        std::vector<std::shared_ptr<tcp::socket>> callers;
+        for (int i = 0; i < 12; ++i) {
+            callers.push_back(std::make_shared<tcp::socket>(fixture.context));
+            callers.back()->connect({ asio::ip::make_address("127.0.0.1"), fixture.stranded.callers->port() });
+            callers.back()->set_option(tcp::socket::receive_buffer_size(4096));
+            asio::write(*callers.back(), asio::buffer(requestBytes("r" + std::to_string(i), "/file/1")));
+        }
+        const TimePoint end = Clock::now() + seconds(5);
+        constexpr std::uint64_t underPressure = limit * 7 / 10;
+        while (Clock::now() < end && (near.peakBytes() < underPressure || far.peakBytes() < underPressure))
+            fixture.context.run_one_for(milliseconds(50));
+        REQUIRE(near.peakBytes() >= underPressure);
+        REQUIRE(far.peakBytes() >= underPressure);
+        CHECK(near.peakBytes() <= limit);
+        CHECK(far.peakBytes() <= limit);
+        CHECK(contains(fixture.ask("own", "/safe/2"), "whole"));
+    }
+
     SECTION("are told that a request may have run when the server that got it was lost")
     {
         fixture.server.script = [](const std::string&) { return ScriptedResponse { .bytes = "", .resets = true }; };
