--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -26,9 +26,6 @@
 /// are parsed as a whole, so a caller could fill the memory with one that never ends.
 constexpr std::size_t maximumUnparsedBytes = 64UL * 1024;
 
-/// Limit of one read from a caller.
-constexpr std::size_t maximumReadBytes = 16UL * 1024;
-
 /// Maximum time between two reads of a body.
 constexpr seconds bodyReadTimeout { 10 };
 
@@ -319,6 +316,8 @@
     }
     this->watchdog.cancel();
     this->isReading = false;
+    if (this->buffer.size() == 0)
+        this->buffer.shrink_to_fit(); // The connection may be idle for long.
     request->body = std::move(parser.get().body());
     request->receivedAt = Clock::now();
     this->queue.push_back(queued);
@@ -342,8 +341,9 @@
 
 Awaitable<beast::error_code> CallerSession::readSome(Parser& parser)
 {
+    const std::size_t maximumBytes = parser.is_header_done() ? maximumBodyReadBytes : maximumHeaderReadBytes;
     const beast::error_code error
-        = co_await http::readSome(this->socket, this->buffer, parser, maximumReadBytes, this->readCancellation.slot());
+        = co_await http::readSome(this->socket, this->buffer, parser, maximumBytes, this->readCancellation.slot());
     // The watchdog may fire when the read has ended but this coroutine has not been resumed yet.
     co_return !error && this->hasReadTimedOut ? asio::error::operation_aborted : error;
 }
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -649,6 +649,9 @@
     const bool wasCold = isCold(*server, Clock::now());
     job.tried.push_back(server);
     ++server->inFlight;
+    const auto leave = [](BackendServer* left) { --left->inFlight; };
+    // Also when an exception ends the request.
+    std::unique_ptr<BackendServer, decltype(leave)> inFlight(server.get(), leave);
     if (wasCold)
         server->lastColdSend = Clock::now();
     auto connection = this->connections.acquire(server, Clock::now());
@@ -667,7 +670,7 @@
             && isPermitValid(job, *server, connectedAt);
         if (!connected || context->isCancelled || context->isAborted || !isStillEligible) {
             connection->close();
-            --server->inFlight;
+            inFlight.reset();
             if (!connected && !context->isCancelled && !context->isAborted)
                 this->onConnectFailure(server, Clock::now());
             if (connected)
@@ -708,7 +711,7 @@
     this->repeatableExchanges.erase(connection);
     context->onCancel = {};
     job.exchanging += Clock::now() - sentAt;
-    --server->inFlight;
+    inFlight.reset();
     if (response.isConnectionLost) {
         this->onServerCrash(server, Clock::now());
         this->reachability->recordFailure(server, Clock::now());
--- a/src/libs/forwarding/memorybudget.cpp
+++ b/src/libs/forwarding/memorybudget.cpp
@@ -18,9 +18,6 @@
 /// Share of the limit at which pressure counts as over. Hysteresis keeps the log from showing every small change.
 constexpr double relievedShare = 0.6;
 
-/// Limit of one read of a message.
-constexpr std::size_t maximumReadBytes = 16UL * 1024;
-
 /// Longest wait for memory. Others than those that wait may be able to pass on their bytes meanwhile.
 constexpr milliseconds maximumRoomWait { 250 };
 
@@ -46,7 +43,7 @@
 std::size_t readAllowance(const MemoryUse& use, std::uint64_t heldBytes)
 {
     if (memoryPressure(use) == MemoryPressure::None)
-        return maximumReadBytes;
+        return maximumBodyReadBytes;
     return heldBytes < guaranteedBytes ? guaranteedBytes - static_cast<std::size_t>(heldBytes) : 0;
 }
 
@@ -149,7 +146,7 @@
     while (!this->waiting.empty() && memoryPressure(expected) == MemoryPressure::None) {
         this->waiting.begin()->second->cancel();
         this->waiting.erase(this->waiting.begin());
-        expected.usedBytes += maximumReadBytes;
+        expected.usedBytes += maximumBodyReadBytes;
     }
 }
 
--- a/src/libs/forwarding/memorybudget.h
+++ b/src/libs/forwarding/memorybudget.h
@@ -34,6 +34,10 @@
 /// Bytes that each message may hold however full the account is, so that all of them make progress.
 inline constexpr std::size_t guaranteedBytes = 4096;
 
+/// Limits of one read of a message: of its body, and of its header, which few exceed.
+inline constexpr std::size_t maximumBodyReadBytes = 16UL * 1024;
+inline constexpr std::size_t maximumHeaderReadBytes = 4096;
+
 /// Time without progress in writing after which a caller counts as one that does not read.
 inline constexpr seconds callerBlockedTime { 1 };
 
--- a/src/libs/forwarding/reachabilitymonitor.cpp
+++ b/src/libs/forwarding/reachabilitymonitor.cpp
@@ -40,8 +40,10 @@
     const auto verification = std::make_shared<Verification>(Verification { .attempted = servers.size() });
     const auto self = this->shared_from_this();
     for (const ServerPointer& server : servers) {
-        http::spawn(this->executor, "verify_server",
-            [self, verification, server] { return self->connectTo(verification, server); });
+        http::spawn(
+            this->executor, "verify_server",
+            [self, verification, server] { return self->connectTo(verification, server); },
+            [self, verification] { self->recordAttempt(*verification, false); });
     }
 }
 
@@ -54,13 +56,18 @@
     const auto connection = std::make_shared<ServerConnection>(this->executor, endpoint);
     const bool isConnected = co_await connection->connect(connectTimeout(*server));
     connection->close();
-    verification->connected += isConnected ? 1 : 0;
-    if (++verification->finished < verification->attempted)
-        co_return;
-    if (!recordVerification(this->reachability, verification->attempted, verification->connected))
-        co_return;
+    this->recordAttempt(*verification, isConnected);
+}
+
+void ReachabilityMonitor::recordAttempt(Verification& verification, bool isConnected)
+{
+    verification.connected += isConnected ? 1 : 0;
+    if (++verification.finished < verification.attempted)
+        return;
+    if (!recordVerification(this->reachability, verification.attempted, verification.connected))
+        return;
     logWarning(this->reachability.isStranded ? "servers_unreachable" : "servers_reachable",
-        { { "attempted", verification->attempted }, { "connected", verification->connected },
+        { { "attempted", verification.attempted }, { "connected", verification.connected },
             { "failed_servers", this->reachability.failures.size() } });
     if (this->onChanged)
         this->onChanged();
--- a/src/libs/forwarding/reachabilitymonitor.h
+++ b/src/libs/forwarding/reachabilitymonitor.h
@@ -30,6 +30,7 @@
     struct Verification;
 
     Awaitable<void> connectTo(std::shared_ptr<Verification> verification, ServerPointer server);
+    void recordAttempt(Verification& verification, bool isConnected);
 
     asio::any_io_executor executor;
     std::shared_ptr<ServerCatalog> catalog;
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -42,9 +42,6 @@
 /// faulty server could fill the memory with one that never ends.
 constexpr std::size_t maximumUnparsedBytes = maximumResponseHeaderBytes + 64U * 1024U;
 
-/// Limit of one read of a header; few are longer.
-constexpr std::size_t maximumHeaderReadBytes = 4096;
-
 /// Bodies up to this size are written together with the header; they fit into the socket's send buffer.
 constexpr std::size_t maximumBytesWithHeader = 16UL * 1024;
 
