Reject a request with a folded field

RFC 9112, section 5.2, has a server reject a field that goes on in a further line, or replace the line break; the library does the latter, so a proxy in front that reads the line as a field of its own would disagree about the request. http::readSome() now looks for the fold before the header is parsed. Responses of servers keep the replacement, as the section asks.

--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -1112,6 +1112,19 @@
                   "0\r\n\r\n";
         status = "400";
     }
+    SECTION("a field that goes on in a further line, RFC 9112 section 5.2")
+    {
+        std::string fold;
+        SECTION("with a space") { fold = " b"; }
+        SECTION("with a tab") { fold = "\tb"; }
+        request = "GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\nX-Long: a\r\n" + fold + "\r\nX-Id: r1\r\n\r\n";
+        status = "400";
+    }
+    SECTION("bare line feeds, RFC 9112 section 2.2")
+    {
+        request = "GET /safe/1 HTTP/1.1\nHost: shop.example\nX-Id: r1\n\n" + requestBytes("r2", "/safe/2");
+        status = "400";
+    }
     SECTION("a chunk size that is not a number")
     {
         request = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n";
--- a/src/libs/http/readsome.h
+++ b/src/libs/http/readsome.h
@@ -11,13 +11,22 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <string_view>
 
 namespace clementinefall::http {
 
+/// Whether a header field goes on in a further line, RFC 9112 section 5.2. \a bytes begin with the header.
+inline bool hasFoldedField(std::string_view bytes)
+{
+    const std::string_view header = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return header.find("\r\n ") != std::string_view::npos || header.find("\r\n\t") != std::string_view::npos;
+}
+
 /// Parses the bytes in \a buffer and, if they complete no part of the message, reads once from the socket, at most
 /// \a maximumBytes, and parses again. Unlike the operations of the library it returns after each read, so that the
 /// bytes can be counted before more are read, and \a cancellation can end the read alone, without a write on the same
-/// socket. \a parser must not be done. Errors: those of the library's read operations.
+/// socket. \a parser must not be done. Errors: those of the library's read operations; bad_field also for a request
+/// with a folded field, which the library would accept.
 template <bool isRequest>
 Awaitable<beast::error_code> readSome(asio::ip::tcp::socket& socket, beast::flat_buffer& buffer,
     beast::http::basic_parser<isRequest>& parser, std::size_t maximumBytes, asio::cancellation_slot cancellation = {})
@@ -25,6 +34,9 @@
     // A body is parsed as far as it has arrived; it may come in chunks of one byte. A header is left by itself.
     parser.eager(parser.is_header_done());
     const auto parse = [&buffer, &parser] {
+        const std::string_view bytes { static_cast<const char*>(buffer.data().data()), buffer.size() };
+        if (isRequest && !parser.is_header_done() && hasFoldedField(bytes))
+            return make_error_code(beast::http::error::bad_field);
         beast::error_code error;
         buffer.consume(parser.put(buffer.data(), error));
         return error;
