--- a/src/libs/http/tst_http.cpp
+++ b/src/libs/http/tst_http.cpp
@@ -175,8 +175,9 @@
         Fixture fixture(failing, limits);
         for (int i = 0; i < 3; ++i) {
             Request request { Verb::post, "/fail", 11 };
-            CHECK_FALSE(isOk(
-                fixture.run(callOnce(fixture.clientContext.get_executor(), fixture.address(), std::move(request)))));
+            const auto failed
+                = fixture.run(callOnce(fixture.clientContext.get_executor(), fixture.address(), std::move(request)));
+            CHECK_FALSE(isOk(failed));
         }
         // The task runs after the end of the connection's coroutine, which closed the connection.
         asio::post(fixture.serverContext, asio::use_future).get();
