Leave room for small requests beside uploads to servers that do not read

Seen: 400 callers with uploads of 1 MB at four servers that read nothing, charges at a sound server beside them. Of 559 charges 143 were served; 416 got 503 (code 2017), as the uploads held the account for messages up to the mark at which all new requests are rejected, each until its deadline. A faulty server is to cost its own requests only.

Cause: the account had one mark for requests of any size.

Change: requests above 64 KB are taken up to half of the limit, and are rejected at once as not run above it. A body of a known length is admitted once and not rejected halfway, also when further requests stand behind it in the buffer.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -355,11 +355,8 @@
     if (length && *length > limitBytes)
         co_return makeError(ResultCode::BodyTooLarge, "the body exceeds the limit of {} bytes", limitBytes);
     const std::size_t head = requestStateBytes + headerBytes(*queued->requestContext->request);
-    const auto reserve = [&](std::uint64_t bodyBytes) {
-        return queued->requestContext->memory->reserveRequest(
-            head + std::max(length.value_or(0), bodyBytes + this->buffer.size()));
-    };
-    if (!reserve(0))
+    MessageMemory& memory = *queued->requestContext->memory;
+    if (!memory.reserveRequest(head + length.value_or(this->buffer.size())))
         co_return notEnoughMemory();
     const auto expectation = parser.get()[http::Field::expect];
     if (beast::iequals(expectation, "100-continue") && this->queue.empty()) {
@@ -377,7 +374,11 @@
         if (error || this->isClosed)
             co_return makeError(
                 ResultCode::UnknownCancelled, "the caller closed the connection before the body was complete");
-        if (!reserve(parser.get().body().size()))
+        // A body of a known length was admitted at its begin, and is not rejected halfway.
+        const std::uint64_t received = head + parser.get().body().size() + this->buffer.size();
+        if (length)
+            memory.holdRequest(std::max(head + *length, received));
+        else if (!memory.reserveRequest(received))
             co_return notEnoughMemory();
     }
     co_return okStatus();
--- a/src/libs/forwarding/memorybudget.cpp
+++ b/src/libs/forwarding/memorybudget.cpp
@@ -15,6 +15,9 @@
 constexpr double pausedShare = 0.7;
 constexpr double exhaustedShare = 0.9;
 
+/// Share of the limit up to which large requests are taken. Below it, responses are read without a pause.
+constexpr double largeRequestsShare = 0.5;
+
 /// Share of the limit at which pressure counts as over. Hysteresis keeps the log from showing every small change.
 constexpr double relievedShare = 0.6;
 
@@ -40,6 +43,13 @@
     return use.usedBytes >= shareOf(use.limitBytes, pausedShare) ? MemoryPressure::ReadsPaused : MemoryPressure::None;
 }
 
+bool hasRoomForRequest(const MemoryUse& use, std::uint64_t requestBytes)
+{
+    if (requestBytes > smallRequestBytes)
+        return use.usedBytes <= shareOf(use.limitBytes, largeRequestsShare);
+    return memoryPressure(use) != MemoryPressure::Exhausted;
+}
+
 std::size_t readAllowance(const MemoryUse& use, std::uint64_t heldBytes)
 {
     if (memoryPressure(use) == MemoryPressure::None)
@@ -95,7 +105,7 @@
     if (bytes > this->requestBytes) {
         MemoryUse after = this->connection->budget->use();
         after.usedBytes += bytes - this->requestBytes;
-        if (memoryPressure(after) == MemoryPressure::Exhausted)
+        if (!hasRoomForRequest(after, bytes))
             return false;
     }
     this->adjust(this->requestBytes, bytes);
--- a/src/libs/forwarding/memorybudget.h
+++ b/src/libs/forwarding/memorybudget.h
@@ -41,8 +41,15 @@
 /// Time without progress in writing after which a caller counts as one that does not read.
 inline constexpr seconds callerBlockedTime { 1 };
 
+/// Requests above this size, with their bodies, are taken only while the account has room for others. Uploads to
+/// servers that do not read would otherwise leave none for the rest.
+inline constexpr std::size_t smallRequestBytes = 64UL * 1024;
+
 MemoryPressure memoryPressure(const MemoryUse& use);
 
+/// Whether a request may hold \a requestBytes, which \a use includes.
+bool hasRoomForRequest(const MemoryUse& use, std::uint64_t requestBytes);
+
 /// How much of a message that holds \a heldBytes may be read at once; zero when reading has to wait.
 std::size_t readAllowance(const MemoryUse& use, std::uint64_t heldBytes);
 
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -914,6 +914,34 @@
         fixture.runUntil([&] { return fixture.first.closedByPeer == 1 && fixture.sessions->inProgress == 0; });
     }
 
+    SECTION("uploads to servers that do not answer cost no small request its room")
+    {
+        auto configuration = std::make_shared<Configuration>(*fixture.forwarder->configuration());
+        configuration->version = 2;
+        configuration->limits.maximumBodyBytes = 200'000;
+        REQUIRE(fixture.forwarder->configure(configuration));
+        fixture.addServer("s2", fixture.second.port());
+        const auto script = [](const std::string& request) {
+            return ScriptedResponse { .bytes = responseBytes(idOf(request), "whole"),
+                .isHeld = request.starts_with("PUT") };
+        };
+        fixture.first.script = script;
+        fixture.second.script = script;
+        constexpr std::size_t uploadBytes = 100'000;
+        std::vector<std::shared_ptr<tcp::socket>> callers;
+        for (int i = 0; i < 25; ++i) {
+            const std::string number = std::to_string(i);
+            callers.push_back(fixture.open("PUT /safe/" + number + " HTTP/1.1\r\nHost: shop.example\r\nX-Id: u" + number
+                + "\r\nX-Left: 4000\r\nContent-Length: " + std::to_string(uploadBytes) + "\r\n\r\n"
+                + std::string(uploadBytes, 'u')));
+            fixture.context.run_for(milliseconds(5));
+        }
+        CHECK(memory->use().usedBytes > 5 * uploadBytes);
+        CHECK(memory->pressure() == MemoryPressure::None);
+        CHECK(fixture.exchange(requestBytes("r1", "/once/1", "POST"), "whole").starts_with("HTTP/1.1 200"));
+        CHECK(fixture.receive(callers.back(), "2017").starts_with("HTTP/1.1 503"));
+    }
+
     SECTION("responses under way are passed on whole")
     {
         filling->holdResponse(limit * 8 / 10, "s1");
--- a/src/libs/forwarding/tst_memorybudget.cpp
+++ b/src/libs/forwarding/tst_memorybudget.cpp
@@ -90,6 +90,24 @@
         CHECK(request.readAllowance() == guaranteedBytes);
     }
 
+    SECTION("has room left for small requests and for responses when uploads have taken their part")
+    {
+        std::vector<std::unique_ptr<MessageMemory>> uploads;
+        bool isTaken = true;
+        while (isTaken) {
+            REQUIRE(uploads.size() < 100);
+            uploads.push_back(std::make_unique<MessageMemory>(connection));
+            isTaken = uploads.back()->reserveRequest(smallRequestBytes + 1);
+        }
+        CHECK(uploads.size() > 5);
+        CHECK(budget->pressure() == MemoryPressure::None);
+        MessageMemory small(connection);
+        CHECK(small.reserveRequest(smallRequestBytes));
+        CHECK_FALSE(small.reserveRequest(smallRequestBytes + 1));
+        uploads.clear();
+        CHECK(small.reserveRequest(smallRequestBytes + 1));
+    }
+
     SECTION("closes callers that do not read, largest first, until memory suffices")
     {
         const TimePoint start = Clock::now();
