Keep requests of other instances from taking all room at one, and reject those it has no connection for

Cause: the port for requests of other instances takes 800 connections. Requests that waited for faulty servers held them all, and further connections were closed without a word. The sender cannot tell such a reset from a loss after the run, so it must not repeat a charge.

Change: a connection beyond the limit, up to an eighth more, is served by a session that rejects its request as not run and closes; callers get the same instead of a reset.

--- a/src/libs/forwarding/callerserver.cpp
+++ b/src/libs/forwarding/callerserver.cpp
@@ -13,6 +13,9 @@
 /// Delay after a failed accept, to avoid a busy loop, for example when no file descriptors are left.
 constexpr milliseconds acceptRetryDelay { 100 };
 
+/// Connections beyond the limit, on which requests are rejected, may number the limit divided by this.
+constexpr std::size_t rejectingDivisor = 8;
+
 } // namespace
 
 CallerServer::CallerServer(asio::any_io_executor serverExecutor, std::shared_ptr<SessionContext> sessionContext,
@@ -59,19 +62,23 @@
             co_await timer.async_wait(useTuple);
             continue;
         }
-        if (this->sessions.size() >= this->connectionLimit && this->openConnections() >= this->connectionLimit) {
-            // The socket closes before anything was read, so the caller can safely retry on another instance.
-            logWarning("connection_refused",
-                { { "code", number(ResultCode::TooManyConnections) }, { "open", this->sessions.size() } });
+        const bool isCrowded
+            = this->sessions.size() >= this->connectionLimit && this->openConnections() >= this->connectionLimit;
+        if (!isCrowded) {
+            this->startSession(std::move(socket));
             continue;
         }
-        this->startSession(std::move(socket));
+        logWarning("connection_refused",
+            { { "code", number(ResultCode::TooManyConnections) }, { "open", this->sessions.size() } });
+        // The peer cannot tell from a reset whether its request has run, so it is told, by a few connections more.
+        if (this->sessions.size() <= this->connectionLimit + this->connectionLimit / rejectingDivisor)
+            this->startSession(std::move(socket), SessionMode::Reject);
     }
 }
 
-void CallerServer::startSession(asio::ip::tcp::socket socket)
+void CallerServer::startSession(asio::ip::tcp::socket socket, SessionMode mode)
 {
-    auto session = std::make_shared<CallerSession>(std::move(socket), this->context, this->source);
+    auto session = std::make_shared<CallerSession>(std::move(socket), this->context, this->source, mode);
     this->sessions.push_back(session);
     http::spawn(
         this->executor, "caller_session", [session] { return session->run(); }, [session] { session->close(); });
--- a/src/libs/forwarding/callerserver.h
+++ b/src/libs/forwarding/callerserver.h
@@ -25,7 +25,7 @@
 
 private:
     Awaitable<void> acceptLoop();
-    void startSession(asio::ip::tcp::socket socket);
+    void startSession(asio::ip::tcp::socket socket, SessionMode mode = SessionMode::Serve);
     /// Removes expired sessions from the list.
     void removeClosed();
 
--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -39,6 +39,9 @@
 /// Retry-After when memory is exhausted; it is freed as other requests complete.
 constexpr milliseconds memoryRetryAfter { 300 };
 
+/// Retry-After when there are too many connections or requests of other instances.
+constexpr milliseconds crowdedRetryAfter { 300 };
+
 /// Memory for the state of a request beside its header and body.
 constexpr std::size_t requestStateBytes = 4096;
 
@@ -126,14 +129,15 @@
     bool isChunked = false;
 };
 
-CallerSession::CallerSession(
-    tcp::socket callerSocket, std::shared_ptr<SessionContext> sessionContext, RequestSource requestSource)
+CallerSession::CallerSession(tcp::socket callerSocket, std::shared_ptr<SessionContext> sessionContext,
+    RequestSource requestSource, SessionMode sessionMode)
     : socket(std::move(callerSocket))
     , watchdog(this->socket.get_executor())
     , writeWatchdog(this->socket.get_executor())
     , queueSignal(this->socket.get_executor())
     , context(std::move(sessionContext))
     , source(requestSource)
+    , mode(sessionMode)
 {
 }
 
@@ -229,8 +233,11 @@
 {
     this->isReading = false;
     if (this->buffer.size() == 0) {
-        if (this->queue.empty())
-            this->armWatchdog(Clock::now() + this->limits().idleTimeout);
+        if (this->queue.empty()) {
+            const CallerLimits waits = this->limits();
+            this->armWatchdog(
+                Clock::now() + (this->mode == SessionMode::Serve ? waits.idleTimeout : waits.headerTimeout));
+        }
         const auto [waitError] = co_await this->socket.async_wait(
             tcp::socket::wait_read, asio::bind_cancellation_slot(this->readCancellation.slot(), useTuple));
         if (waitError) {
@@ -408,11 +415,10 @@
     StreamingSink sink(self, queued);
     queued->requestContext->sink = &sink;
     Forwarder::Outcome outcome;
-    if (this->isTooLate(*queued->requestContext)) {
-        outcome.response = responseForError(makeError(ResultCode::NotRunStopping, "the instance is stopping"),
-            request.id, this->context->names, stoppingRetryAfter);
+    if (const std::optional<Rejection> rejection = this->findRejection(*queued->requestContext)) {
+        outcome.response = responseForError(rejection->error, request.id, this->context->names, rejection->retryAfter);
     } else {
-        outcome = co_await this->context->forwarder->forward(queued->requestContext);
+        outcome = co_await this->forward(queued->requestContext);
     }
     if (this->isClosed || queued->requestContext->isCancelled) {
         this->finishRequest(queued);
@@ -430,7 +436,8 @@
     }
     // A request that is being received is answered, too, and closes the connection then.
     const bool isLast = this->queue.size() == 1 && !this->isReading;
-    const bool closes = !queued->keepAlive || (this->context->isStopping && isLast);
+    const bool closes
+        = !queued->keepAlive || (this->context->isStopping && isLast) || this->mode == SessionMode::Reject;
     outcome.response.closesConnection = closes;
     if (closes)
         this->willClose = true;
@@ -467,6 +474,48 @@
         && !canAnswerBefore(*answerAllAt, this->context->forwarder->usualProcessingTime(requestContext), Clock::now());
 }
 
+bool CallerSession::hasRoomFor(const Route* route) const
+{
+    const auto& counts = this->context->peerRequestsByRoute;
+    PeerRequestLoad load { .limit = this->context->maximumPeerRequests };
+    for (const auto& [name, count] : counts)
+        load.total += count;
+    if (const auto found = route == nullptr ? counts.end() : counts.find(route->name); found != counts.end())
+        load.ofRoute = found->second;
+    if (const auto& configuration = this->context->forwarder->configuration())
+        load.routes = configuration->routes.size();
+    return hasRoomForPeerRequest(load);
+}
+
+std::optional<CallerSession::Rejection> CallerSession::findRejection(const RequestContext& requestContext) const
+{
+    if (this->mode == SessionMode::Reject)
+        return Rejection { makeError(ResultCode::TooManyConnections, "too many connections are open"),
+            crowdedRetryAfter };
+    if (this->isTooLate(requestContext))
+        return Rejection { makeError(ResultCode::NotRunStopping, "the instance is stopping"), stoppingRetryAfter };
+    if (this->source == RequestSource::EntryInstance && !this->hasRoomFor(requestContext.route))
+        return Rejection { makeError(ResultCode::NotRunNoCapacity, "too many requests of other instances are waiting"),
+            crowdedRetryAfter };
+    return std::nullopt;
+}
+
+Awaitable<Forwarder::Outcome> CallerSession::forward(std::shared_ptr<RequestContext> requestContext)
+{
+    const auto self = this->shared_from_this();
+    if (this->source != RequestSource::EntryInstance || requestContext->route == nullptr)
+        co_return co_await this->context->forwarder->forward(requestContext);
+    auto& counts = this->context->peerRequestsByRoute;
+    const std::string route = requestContext->route->name;
+    const auto leave = [&counts, &route](std::size_t* count) {
+        if (--*count == 0)
+            counts.erase(route);
+    };
+    // Also when an exception ends the request.
+    const std::unique_ptr<std::size_t, decltype(leave)> counted(&++counts[route], leave);
+    co_return co_await this->context->forwarder->forward(requestContext);
+}
+
 void CallerSession::finishRequest(const std::shared_ptr<QueuedRequest>& queued)
 {
     const auto found = std::find(this->queue.begin(), this->queue.end(), queued);
--- a/src/libs/forwarding/callersession.h
+++ b/src/libs/forwarding/callersession.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <deque>
 #include <exception>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -30,6 +31,8 @@
     /// Set during a stop: requests that would take longer are rejected as not run.
     std::optional<TimePoint> answerAllAt;
     std::size_t inProgress = 0; ///< Requests that were received and have no response yet.
+    std::size_t maximumPeerRequests = 1000; ///< Requests of other instances that are forwarded at once.
+    std::map<std::string, std::size_t> peerRequestsByRoute; ///< Those that are forwarded now.
 };
 
 /// Who sends the requests of a connection.
@@ -38,12 +41,18 @@
     EntryInstance, ///< Another entry instance; see peerforwarding.h.
 };
 
+/// What a session does with its requests.
+enum class SessionMode : std::uint8_t {
+    Serve,
+    Reject, ///< Rejects the first request as not run and closes, as there are too many connections.
+};
+
 /// One connection of a caller, with pipelining. Idempotent requests run concurrently, others only once they are first
 /// in the queue. Responses are sent in the order of the requests.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
     CallerSession(asio::ip::tcp::socket callerSocket, std::shared_ptr<SessionContext> sessionContext,
-        RequestSource requestSource);
+        RequestSource requestSource, SessionMode sessionMode = SessionMode::Serve);
 
     /// Receives requests until the connection is closed.
     Awaitable<void> run();
@@ -57,6 +66,12 @@
     class StreamingSink;
     struct QueuedRequest;
 
+    /// Why a request is not forwarded, and when its caller may come back.
+    struct Rejection {
+        Error error;
+        Duration retryAfter;
+    };
+
     using Parser = beast::http::request_parser<http::GrowingBody>;
 
     /// Receives one request and starts to serve it. Returns false when no further one can follow.
@@ -84,6 +99,11 @@
     void abandon(const std::shared_ptr<QueuedRequest>& queued, const std::exception_ptr& error);
     /// Whether the instance stops before the request could be answered, or takes no requests any more.
     bool isTooLate(const RequestContext& requestContext) const;
+    /// Whether requests of other instances leave room for another one of this \a route.
+    bool hasRoomFor(const Route* route) const;
+    std::optional<Rejection> findRejection(const RequestContext& requestContext) const;
+    /// Forwards a request, and counts it if another instance has sent it.
+    Awaitable<Forwarder::Outcome> forward(std::shared_ptr<RequestContext> requestContext);
     void finishRequest(const std::shared_ptr<QueuedRequest>& queued);
     void cancelRequests();
     void armWatchdog(TimePoint deadline);
@@ -98,6 +118,7 @@
     asio::steady_timer queueSignal; ///< Cancelled when a request leaves the queue or the connection is closed.
     std::shared_ptr<SessionContext> context;
     RequestSource source;
+    SessionMode mode;
     beast::flat_buffer buffer;
     std::shared_ptr<ConnectionMemory> connectionMemory;
     /// Requests in the order of arrival. Only the response to the first one may be sent.
--- a/src/libs/forwarding/peerforwarding.cpp
+++ b/src/libs/forwarding/peerforwarding.cpp
@@ -74,6 +74,13 @@
 
 } // namespace
 
+bool hasRoomForPeerRequest(const PeerRequestLoad& load)
+{
+    if (load.total >= load.limit)
+        return false;
+    return load.total < load.limit / 2 || load.ofRoute < load.limit / std::max<std::size_t>(1, load.routes);
+}
+
 std::optional<std::size_t> choosePeer(std::span<const Peer> peers, const std::string& localRegion,
     std::span<const std::string> allowedRegions, std::span<const std::string> tried, std::uint64_t object,
     std::uint64_t random)
--- a/src/libs/forwarding/peerforwarding.h
+++ b/src/libs/forwarding/peerforwarding.h
@@ -19,6 +19,18 @@
 /// Number of other instances to which one request is passed at most.
 inline constexpr std::size_t maximumPeers = 2;
 
+/// Requests of other instances that are under way at this one.
+struct PeerRequestLoad {
+    std::size_t limit = 0; ///< For the sum over all routes.
+    std::size_t total = 0;
+    std::size_t ofRoute = 0; ///< Those of the route of the next request.
+    std::size_t routes = 0; ///< In the configuration.
+};
+
+/// Whether one more request of the route may be taken. Above half of the limit, a route gets no more than an equal
+/// part, so that requests that wait for the servers of one route leave room for those of others.
+bool hasRoomForPeerRequest(const PeerRequestLoad& load);
+
 /// An entry instance that accepts requests of others.
 struct Peer {
     std::string name;
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read_until.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <functional>
 
@@ -930,10 +931,9 @@
         constexpr std::size_t uploadBytes = 100'000;
         std::vector<std::shared_ptr<tcp::socket>> callers;
         for (int i = 0; i < 25; ++i) {
-            const std::string number = std::to_string(i);
-            callers.push_back(fixture.open("PUT /safe/" + number + " HTTP/1.1\r\nHost: shop.example\r\nX-Id: u" + number
-                + "\r\nX-Left: 4000\r\nContent-Length: " + std::to_string(uploadBytes) + "\r\n\r\n"
-                + std::string(uploadBytes, 'u')));
+            callers.push_back(fixture.open(fmt::format("PUT /safe/{0} HTTP/1.1\r\nHost: shop.example\r\nX-Id: u{0}\r\n"
+                                                       "X-Left: 4000\r\nContent-Length: {1}\r\n\r\n{2}",
+                i, uploadBytes, std::string(uploadBytes, 'u'))));
             fixture.context.run_for(milliseconds(5));
         }
         CHECK(memory->use().usedBytes > 5 * uploadBytes);
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -22,7 +22,8 @@
 /// An entry instance with one backend service, whose servers a test chooses.
 class Instance {
 public:
-    Instance(asio::io_context& context, const std::string& name, std::vector<std::uint16_t> serverPorts)
+    Instance(asio::io_context& context, const std::string& name, std::vector<std::uint16_t> serverPorts,
+        std::size_t peerConnections = 100)
     {
         const InstanceLocation location { "a", "north", { { "a", "north" } } };
         this->catalog = std::make_shared<ServerCatalog>(location);
@@ -64,8 +65,8 @@
         this->sessions->forwarder = this->forwarder;
         this->sessions->names = testWireNames();
         this->callers = std::make_shared<CallerServer>(context.get_executor(), this->sessions, 100);
-        this->peerRequests
-            = std::make_shared<CallerServer>(context.get_executor(), this->sessions, 100, RequestSource::EntryInstance);
+        this->peerRequests = std::make_shared<CallerServer>(
+            context.get_executor(), this->sessions, peerConnections, RequestSource::EntryInstance);
         REQUIRE(isOk(this->callers->listen({ "127.0.0.1", 0 })));
         REQUIRE(isOk(this->peerRequests->listen({ "127.0.0.1", 0 })));
     }
@@ -151,6 +152,30 @@
         return text;
     }
 
+    /// Sends requests for files, which the server holds, and keeps their connections open.
+    std::vector<std::shared_ptr<tcp::socket>> openHeld(std::uint16_t port, int count)
+    {
+        this->server.script = [](const std::string& request) {
+            return ScriptedResponse { .bytes = responseBytes(idOf(request), "whole"),
+                .isHeld = request.starts_with("GET /file/") };
+        };
+        std::vector<std::shared_ptr<tcp::socket>> sockets;
+        for (int i = 0; i < count; ++i) {
+            sockets.push_back(std::make_shared<tcp::socket>(this->context));
+            sockets.back()->connect({ asio::ip::make_address("127.0.0.1"), port });
+            asio::write(*sockets.back(), asio::buffer(requestBytes("held" + std::to_string(i), "/file/1")));
+        }
+        return sockets;
+    }
+
+    void runUntil(const std::function<bool()>& done)
+    {
+        const TimePoint limit = Clock::now() + seconds(5);
+        while (!done() && Clock::now() < limit)
+            this->context.run_one_for(milliseconds(50));
+        REQUIRE(done());
+    }
+
     std::string ask(const std::string& id, const std::string& path)
     {
         return this->exchange(this->stranded.callers->port(), requestBytes(id, path));
@@ -266,6 +291,31 @@
         CHECK(fixture.server.requests.empty());
     }
 
+    SECTION("are told that a request did not run when the other instance has no connection left for it")
+    {
+        Instance crowded(fixture.context, "crowded", { fixture.server.port() }, 3);
+        fixture.stranded.forwarder->peers = [&] { return std::vector<Peer> { crowded.asPeer("crowded") }; };
+        const auto held = fixture.openHeld(crowded.peerRequests->port(), 3);
+        fixture.runUntil([&] { return fixture.server.requests.size() == 3; });
+        const std::string response = fixture.ask("r1", "/once/1");
+        CHECK(contains(response, "HTTP/1.1 503"));
+        CHECK(contains(response, "Retry-After: "));
+        CHECK(fixture.server.requests.size() == 3);
+    }
+
+    SECTION("are served although requests of another route wait for their servers at the other instance")
+    {
+        ServerEntry entry = fixture.reaching.catalog->find("s0")->entry;
+        entry.slots = 100;
+        ++entry.sequence;
+        REQUIRE(fixture.reaching.catalog->apply(entry, Clock::now()));
+        fixture.reaching.sessions->maximumPeerRequests = 6;
+        const auto held = fixture.openHeld(fixture.reaching.peerRequests->port(), 10);
+        fixture.runUntil([&] { return fixture.server.requests.size() >= 3; });
+        CHECK(contains(fixture.ask("r1", "/once/1"), "whole"));
+        CHECK(fixture.server.requests.size() == 4);
+    }
+
     SECTION("do not earn the fleet more retries than other callers")
     {
         ScriptedServer other(fixture.context);
@@ -508,6 +558,37 @@
     }
 }
 
+TEST_CASE("How many requests of other instances are taken at once")
+{
+    SECTION("all while there is much room, whatever their route")
+    {
+        CHECK(hasRoomForPeerRequest({ .limit = 100, .total = 49, .ofRoute = 49, .routes = 5 }));
+    }
+    SECTION("above half of the limit, an equal part for each route")
+    {
+        CHECK_FALSE(hasRoomForPeerRequest({ .limit = 100, .total = 50, .ofRoute = 20, .routes = 5 }));
+        CHECK(hasRoomForPeerRequest({ .limit = 100, .total = 90, .ofRoute = 19, .routes = 5 }));
+    }
+    SECTION("none above the limit")
+    {
+        CHECK_FALSE(hasRoomForPeerRequest({ .limit = 100, .total = 100, .ofRoute = 0, .routes = 5 }));
+    }
+    SECTION("faulty routes together leave the part of each other one")
+    {
+        std::array<std::size_t, 5> taken {};
+        for (int round = 0; round < 1000; ++round) {
+            for (std::size_t route = 0; route < 4; ++route) {
+                const std::size_t total = taken[0] + taken[1] + taken[2] + taken[3];
+                if (hasRoomForPeerRequest({ .limit = 800, .total = total, .ofRoute = taken[route], .routes = 5 }))
+                    ++taken[route];
+            }
+        }
+        const std::size_t total = taken[0] + taken[1] + taken[2] + taken[3];
+        CHECK(total == 640);
+        CHECK(hasRoomForPeerRequest({ .limit = 800, .total = total, .ofRoute = 0, .routes = 5 }));
+    }
+}
+
 TEST_CASE("Choice of the instance that a request passes to")
 {
     const std::vector<Peer> peers { { "a", "south", {} }, { "b", "north", {} }, { "c", "north", {} },
