Spread the return of callers that are rejected for memory, connections or a stop

Cause: these rejections stated the same Retry-After to all, so callers that were rejected together returned together.

Change: the pause is drawn from half to one and a half of it, as for other rejections.

Test: tst_callersession "callers that are rejected together are told different times" found one value in eight rejections on the code before, and passes now. tst_forwarding passes.

--- a/src/libs/forwarding/callersession.cpp
+++ b/src/libs/forwarding/callersession.cpp
@@ -416,7 +416,8 @@
     queued->requestContext->sink = &sink;
     Forwarder::Outcome outcome;
     if (const std::optional<Rejection> rejection = this->findRejection(*queued->requestContext)) {
-        outcome.response = responseForError(rejection->error, request.id, this->context->names, rejection->retryAfter);
+        outcome.response = responseForError(rejection->error, request.id, this->context->names,
+            this->context->forwarder->withJitter(rejection->retryAfter));
     } else {
         outcome = co_await this->forward(queued->requestContext);
     }
@@ -572,7 +573,8 @@
     }
     if (this->isClosed)
         co_return;
-    CallerResponse response = responseForError(error, requestId, this->context->names, memoryRetryAfter);
+    CallerResponse response = responseForError(
+        error, requestId, this->context->names, this->context->forwarder->withJitter(memoryRetryAfter));
     response.closesConnection = true;
     this->willClose = true;
     logInfo("request_rejected",
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -1108,7 +1108,6 @@
 
 Duration Forwarder::withJitter(Duration pause)
 {
-    // Callers that are rejected together must not retry together.
     const double factor = 0.5 + randomUnit(this->random);
     return scaled(pause, factor);
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -81,6 +81,10 @@
     /// Time that a server usually takes for the request if it has nothing cached; zero without a route.
     Duration usualProcessingTime(const RequestContext& context) const;
 
+    /// A random duration from half of \a pause to one and a half of it, so that callers that are rejected together do
+    /// not return together.
+    Duration withJitter(Duration pause);
+
     /// Rejects the queued requests during a stop; later requests are not queued.
     void rejectWaiting();
     /// Aborts all active requests at the end of a stop. Otherwise responses that are ready would stay queued behind
@@ -215,7 +219,6 @@
     bool shouldRetry(const Job& job, const ServerResponse& response, TimePoint now);
     void updateSpills(TimePoint now);
     void logSummaries(TimePoint now);
-    Duration withJitter(Duration pause);
     Outcome finish(Job& job, Outcome outcome);
     Outcome reject(Job& job, const Error& error, Duration retryAfter);
     requests::RetryBudget& budgetOf(const std::string& service);
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <functional>
+#include <set>
 
 using namespace clementinefall;
 using namespace clementinefall::forwarding;
@@ -900,6 +901,20 @@
         CHECK(fixture.exchange(requestBytes("r2", "/once/2", "POST"), "whole").starts_with("HTTP/1.1 200"));
     }
 
+    SECTION("callers that are rejected together are told different times to come back")
+    {
+        filling->holdResponse(limit, "s1");
+        std::set<std::string> times;
+        constexpr int callers = 8;
+        for (int i = 0; i < callers; ++i) {
+            const std::string text = fixture.exchange(requestBytes("r" + std::to_string(i), "/once/1", "POST"), "2017");
+            const std::size_t at = text.find("Retry-After: ");
+            REQUIRE(at != std::string::npos);
+            times.insert(text.substr(at, text.find("\r\n", at) - at));
+        }
+        CHECK(times.size() > callers / 2);
+    }
+
     SECTION("a caller that does not read is closed, and its server freed")
     {
         fixture.first.script = [](const std::string& request) {
