Show how old the knowledge of each kind of objects is, and which version refused a request

A call for one kind that stays without an answer shows only when it ends, 20.7 s after its begin, and an instance that follows the watcher of its zone shows nothing.

Change: observability only. No decision uses the ages yet.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -141,6 +141,12 @@
     }
 }
 
+/// Empty for an age that is not known.
+std::string millisecondsText(Duration age)
+{
+    return age == Duration::max() ? "" : fmt::format("{}", std::chrono::duration_cast<milliseconds>(age).count());
+}
+
 } // namespace
 
 /// State of one request while it is forwarded.
@@ -1144,8 +1150,10 @@
                 { "status", outcome.response.status }, { "code", number(outcome.response.code) },
                 { "ms", std::chrono::duration_cast<milliseconds>(took).count() },
                 { "left_ms", std::chrono::duration_cast<milliseconds>(job.deadline - Clock::now()).count() },
-                { "config", job.configuration ? job.configuration->version : 0 }, { "attempts", job.attemptLog },
-                { "cut", outcome.isTruncated }, { "cancelled", job.context->isCancelled },
+                { "config", job.configuration ? job.configuration->version : 0 },
+                { "config_age_ms", this->configurationAge ? millisecondsText(this->configurationAge()) : "" },
+                { "attempts", job.attemptLog }, { "cut", outcome.isTruncated },
+                { "cancelled", job.context->isCancelled },
                 { "why",
                     isGood ? std::string_view("retried") : std::string_view(outcome.response.body).substr(0, 160) } });
     }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -130,6 +130,10 @@
     /// Whether this instance reaches no backend server.
     bool isStranded() const { return this->reachability->state().isStranded; }
 
+    /// Age of the knowledge that the configuration is the newest one, for the log. Without the function, none is
+    /// logged.
+    std::function<Duration()> configurationAge;
+
     /// Called when the process was paused for so long that its knowledge of the backend servers may be outdated. Until
     /// confirmKnowledge() is called, or for a limited time if it is not, requests are not sent.
     std::function<void()> onPaused;
--- a/src/libs/forwarding/forwardingmetrics.cpp
+++ b/src/libs/forwarding/forwardingmetrics.cpp
@@ -41,6 +41,9 @@
           "clementinefall_request_seconds", "Time from the whole request to its answer, by route."))
     , gauges(family<prometheus::Gauge>(
           prometheus::BuildGauge(), *this->registry, "clementinefall_state", "State of this entry instance."))
+    , knowledgeAges(
+          family<prometheus::Gauge>(prometheus::BuildGauge(), *this->registry, "clementinefall_knowledge_age_seconds",
+              "Age of what is known of the store's objects, by kind and by what proved it."))
 {
 }
 
@@ -122,6 +125,18 @@
     this->gauges.Add({ { "name", name } }).Set(value);
 }
 
+void ForwardingMetrics::setKnowledgeAge(const std::string& kind, std::string_view source, Duration age)
+{
+    KnowledgeAge& current = this->knowledgeAgeByKind[kind];
+    if (current.gauge == nullptr || current.source != source) {
+        if (current.gauge != nullptr)
+            this->knowledgeAges.Remove(current.gauge);
+        current.source = source;
+        current.gauge = &this->knowledgeAges.Add({ { "kind", kind }, { "source", current.source } });
+    }
+    current.gauge->Set(std::chrono::duration<double>(age).count());
+}
+
 std::string ForwardingMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(this->registry->Collect());
--- a/src/libs/forwarding/forwardingmetrics.h
+++ b/src/libs/forwarding/forwardingmetrics.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace clementinefall::forwarding {
 
@@ -33,11 +34,18 @@
     void recordPermit(const std::string& service, bool isGranted);
     void recordStoreCall(const std::string& kind, bool succeeded);
     void setGauge(const std::string& name, double value);
+    /// Sets the age of what is known of a kind of the store's objects; \a source names what proved it.
+    void setKnowledgeAge(const std::string& kind, std::string_view source, Duration age);
 
     /// All metrics in the Prometheus text format.
     std::string text() const;
 
 private:
+    struct KnowledgeAge {
+        std::string source;
+        prometheus::Gauge* gauge = nullptr;
+    };
+
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Counter>& attempts;
@@ -49,6 +57,8 @@
     prometheus::Family<prometheus::Counter>& storeCalls;
     prometheus::Family<prometheus::Histogram>& latencies;
     prometheus::Family<prometheus::Gauge>& gauges;
+    prometheus::Family<prometheus::Gauge>& knowledgeAges;
+    std::map<std::string, KnowledgeAge> knowledgeAgeByKind;
     std::map<std::string, prometheus::Counter*> counterCache;
     std::map<std::string, prometheus::Histogram*> latencyCache;
 };
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -144,12 +144,15 @@
         this->sinceLastList.isAfterOutage = true;
         co_return true;
     }
-    this->position.revision = std::max(this->position.revision, changes.revision);
+    const std::uint64_t knownBefore = this->position.revision;
+    this->position.revision = std::max(knownBefore, changes.revision);
     // Stays set when an exception ends the handler: what was not applied is in the next list.
     this->needsList = true;
     if (!changes.changes.empty() && this->onChanges)
         this->onChanges(changes);
     this->needsList = false;
+    if (this->onAnswer)
+        this->onAnswer(changes, knownBefore);
     this->recordCaughtUp();
     co_return true;
 }
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -32,10 +32,20 @@
     friend bool operator==(const StorePosition&, const StorePosition&) = default;
 };
 
+/// What proved the knowledge of a kind last.
+enum class ProofSource : std::uint8_t {
+    None,
+    Store, ///< An answer of the store for the kind.
+    StoreRevision, ///< An answer for another kind: the store has no change that is not known here.
+    Watcher, ///< The zone's watcher.
+    Instance, ///< A report of another instance.
+};
+
 struct ObjectSet {
     std::uint64_t era = 0; ///< See StorePosition.
     std::uint64_t revision = 0; ///< Store revision at which the set was read.
     std::vector<StoredObject> objects;
+    TimePoint asOf {}; ///< The set was complete at this time; unset when it may be outdated.
 };
 
 struct ObjectChange {
@@ -47,6 +57,8 @@
     std::uint64_t era = 0; ///< When it is not the requested one, the store was restored and there are no changes.
     std::uint64_t revision = 0; ///< Store revision up to which the changes are complete.
     std::vector<ObjectChange> changes;
+    TimePoint asOf {}; ///< The changes were complete at this time; unset when they may be outdated.
+    ProofSource source = ProofSource::None; ///< Of `asOf`. With ProofSource::Store, `revision` is that of the store.
 };
 
 /// Whether a read may return an outdated state. Stale reads are cheaper for the store.
@@ -94,6 +106,8 @@
     /// Called with the complete set.
     std::function<void(const ObjectSet&, const ListCircumstances&)> onList;
     std::function<void(const ChangeSet&)> onChanges;
+    /// Called with each answer to a watch, after its changes were applied, and the revision after which it was asked.
+    std::function<void(const ChangeSet&, std::uint64_t knownBefore)> onAnswer;
     /// Called once, when the objects are known to be current: after the changes since the first list, which may be
     /// stale, were read. Until then, an object that was removed before this process started may still be in the set.
     std::function<void()> onCaughtUp;
--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -346,6 +346,7 @@
     const std::string target = fmt::format(
         "{}{}?after={}&era={}&wait_ms={}", pathPrefix, kind, position.revision, position.era, wait.count());
     http::Request request { http::Verb::get, target, 11 };
+    const TimePoint start = Clock::now();
     const Result<http::Response> response = co_await transport->call(std::move(request), wait + allowance);
     if (!isOk(response))
         co_return errorOf(response);
@@ -366,6 +367,8 @@
         result.changes.revision = document.at("revision").to_number<std::uint64_t>();
         for (const json::value& change : document.at("changes").as_array())
             result.changes.changes.push_back(decodeChange(change));
+        result.changes.asOf = start - result.age;
+        result.changes.source = ProofSource::Watcher;
         co_return result;
     } catch (const std::exception& error) {
         co_return makeError(ResultCode::PlatformUnreachable, "malformed changes of a watcher: {}", error.what());
