Prove the knowledge of each kind by itself, and verify it when no proof is recent

Cause: something counted as current because something else was answered. A call that waits for changes of one kind was noticed as lost only at its end (20.7 s, servers 4.7 s in zones without a watcher), while calls for other kinds went on; the watcher of a zone stated the age of its calls for servers as that of every kind, so followers took an old configuration for current.

Change: one notion of age (platform/currency). A proof is an answer for the kind, the store's revision when all changes up to it are known, the watcher's age of this very kind, or a report of another instance in its heartbeats. Times of other instances are converted by echoed clock stamps (forwarding/peerclock), so that a delayed heartbeat makes nothing younger. When no proof is recent, one call on a new connection verifies the kind (platform/verification); what it finds replaces the watch under way. Heartbeats gain 'known', 'clock' and 'echo', responses of the watcher 'waited_ms'; without them an older build proves nothing.

--- a/src/libs/forwarding/heartbeat.cpp
+++ b/src/libs/forwarding/heartbeat.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/heartbeat.h"
 
+#include "base/log.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -109,8 +111,78 @@
     return result;
 }
 
+/// As `"kind":[era, revision, newest change from, until, age in ms]`. The age is rounded up.
+json::object writeReports(const std::vector<platform::KindReport>& reports)
+{
+    json::object result;
+    for (const platform::KindReport& report : reports) {
+        result[report.kind] = json::array { report.position.era, report.position.revision, report.lastChangeFrom,
+            report.lastChangeUntil, std::chrono::ceil<milliseconds>(report.age).count() };
+    }
+    return result;
+}
+
+platform::KindReport readReport(std::string kind, const json::array& fields)
+{
+    const auto field = [&fields](std::size_t index) { return fields.at(index).to_number<std::uint64_t>(); };
+    platform::KindReport report { .kind = std::move(kind),
+        .position = { field(0), field(1) },
+        .lastChangeFrom = field(2),
+        .lastChangeUntil = field(3),
+        .age = milliseconds(fields.at(4).to_number<std::uint32_t>()) };
+    if (report.lastChangeFrom > report.lastChangeUntil)
+        throw std::invalid_argument("newest change");
+    return report;
+}
+
+std::vector<platform::KindReport> readReports(const json::value& reports)
+{
+    std::vector<platform::KindReport> result;
+    try {
+        for (const auto& item : reports.as_object())
+            result.push_back(readReport(std::string(item.key()), item.value().as_array()));
+    } catch (const std::exception& error) {
+        logWarning("store_report_rejected", { { "why", error.what() } });
+        result.clear();
+    }
+    return result;
+}
+
+/// Nothing for a value that is no time of a clock.
+std::optional<Duration> readClockTime(const json::value& value)
+{
+    constexpr std::uint64_t latest = std::chrono::duration_cast<milliseconds>(Duration::max()).count();
+    boost::system::error_code error;
+    const auto count = value.to_number<std::uint64_t>(error);
+    if (error || count > latest)
+        return std::nullopt;
+    return milliseconds(count);
+}
+
+std::optional<ClockEcho> readEcho(const json::value& value)
+{
+    const json::array* fields = value.if_array();
+    if (fields == nullptr || fields->size() != 2)
+        return std::nullopt;
+    const auto stamp = readClockTime(fields->at(0));
+    const auto receivedAt = readClockTime(fields->at(1));
+    if (!stamp || !receivedAt)
+        return std::nullopt;
+    return ClockEcho { .stamp = *stamp, .receivedAt = *receivedAt };
+}
+
 } // namespace
 
+std::string withClock(std::string text, TimePoint now, const std::optional<ClockEcho>& echo)
+{
+    const auto count = [](Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); };
+    text.pop_back();
+    text += fmt::format(R"(,"clock":{})", count(clockStamp(now)));
+    if (echo)
+        text += fmt::format(R"(,"echo":[{},{}])", count(echo->stamp), count(echo->receivedAt));
+    return text + "}";
+}
+
 std::string encodeHeartbeat(const Heartbeat& heartbeat, TimePoint now)
 {
     json::object message { { "version", heartbeatVersion }, { "name", heartbeat.name },
@@ -127,6 +199,8 @@
         message = std::move(larger);
         text = std::move(longer);
     };
+    if (!heartbeat.reports.empty())
+        addIfFits("known", writeReports(heartbeat.reports));
     if (!heartbeat.crashMarks.empty()) {
         json::array marks;
         for (const requests::CrashMark& mark : heartbeat.crashMarks)
@@ -178,6 +252,12 @@
         }
         if (const json::value* limits = message.if_contains("limits"))
             heartbeat.rateLimits = readRateLimits(limits->as_object(), now);
+        if (const json::value* reports = message.if_contains("known"))
+            heartbeat.reports = readReports(*reports);
+        if (const json::value* clock = message.if_contains("clock"))
+            heartbeat.clock = readClockTime(*clock);
+        if (const json::value* echo = message.if_contains("echo"))
+            heartbeat.echo = readEcho(*echo);
         return heartbeat;
     } catch (const std::exception& error) {
         return makeError(ResultCode::PeerBadMessage, "malformed heartbeat: {}", error.what());
--- a/src/libs/forwarding/heartbeat.h
+++ b/src/libs/forwarding/heartbeat.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "base/result.h"
+#include "forwarding/peerclock.h"
 #include "forwarding/ratelimit.h"
+#include "platform/currency.h"
 #include "requests/quarantine.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +29,10 @@
     std::vector<requests::CrashMark> crashMarks; ///< Recently observed crashes.
     /// Rate limits of the backend servers that the instance coordinates, and limits that ended a short time ago.
     std::map<std::string, RateLimitState> rateLimits;
+    std::vector<platform::KindReport> reports {}; ///< What the instance knows of the store.
+    /// By the clock of the sender, see withClock(); not set by encodeHeartbeat().
+    std::optional<Duration> clock {};
+    std::optional<ClockEcho> echo {};
 };
 
 /// Maximum size of an encoded heartbeat; fits in one datagram on usual links.
@@ -35,7 +42,11 @@
 /// of the most loaded servers are kept. Times of crash marks are sent as ages at \a now.
 std::string encodeHeartbeat(const Heartbeat& heartbeat, TimePoint now);
 
-/// Error: PeerBadMessage or PeerVersion.
+/// An encoded heartbeat with the sender's clock and the receiver's last stamp.
+std::string withClock(std::string text, TimePoint now, const std::optional<ClockEcho>& echo);
+
+/// Reports that are malformed are left out, so that what they tell counts as unknown. Error: PeerBadMessage or
+/// PeerVersion.
 Result<Heartbeat> decodeHeartbeat(std::string_view text, TimePoint now);
 
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/heartbeatexchange.cpp
+++ b/src/libs/forwarding/heartbeatexchange.cpp
@@ -90,15 +90,45 @@
         if (now - last + milliseconds(20) < heartbeatInterval(this->timing, isSameZone, others.size()))
             continue;
         last = now;
-        this->sendTo(target.heartbeats, isSameZone ? fullText : withoutLoadText);
+        this->sendTo(target.heartbeats, this->withClockFor(target, isSameZone ? fullText : withoutLoadText, now));
     }
+    this->forgetUnregistered(others);
+}
+
+std::string HeartbeatExchange::withClockFor(const InstanceInfo& target, const std::string& text, TimePoint now) const
+{
+    const auto known = this->clocks.find(target.name);
+    const bool isSame = known != this->clocks.end() && known->second.incarnation == target.incarnation;
+    return withClock(text, now, isSame ? known->second.clock.echo : std::nullopt);
+}
+
+const PeerClock& HeartbeatExchange::recordClock(const Heartbeat& heartbeat, TimePoint now)
+{
+    KnownClock& known = this->clocks[heartbeat.name];
+    if (known.incarnation != heartbeat.incarnation)
+        known = { .incarnation = heartbeat.incarnation, .clock = {} };
+    if (heartbeat.clock)
+        recordStamp(known.clock, *heartbeat.clock, now);
+    if (heartbeat.echo)
+        recordEcho(known.clock, *heartbeat.echo, now);
+    return known.clock;
+}
+
+void HeartbeatExchange::forgetUnregistered(const std::vector<InstanceInfo>& registered)
+{
+    if (this->clocks.size() <= registered.size())
+        return;
+    std::erase_if(this->clocks, [&registered](const auto& entry) {
+        return std::none_of(registered.begin(), registered.end(),
+            [&entry](const InstanceInfo& info) { return info.name == entry.first; });
+    });
 }
 
 void HeartbeatExchange::sendToAll(const Heartbeat& heartbeat, TimePoint now)
 {
     const std::string text = encodeHeartbeat(heartbeat, now);
     for (const InstanceInfo& target : this->table->others())
-        this->sendTo(target.heartbeats, text);
+        this->sendTo(target.heartbeats, this->withClockFor(target, text, now));
 }
 
 Awaitable<void> HeartbeatExchange::receiveLoop()
@@ -124,8 +154,11 @@
                 "beat_rejected", { { "from", sender.address().to_string() }, { "why", errorOf(heartbeat).text() } });
             continue;
         }
-        if (this->table->recordHeartbeat(valueOf(heartbeat), now) && this->onHeartbeat)
-            this->onHeartbeat(valueOf(heartbeat));
+        if (!this->table->recordHeartbeat(valueOf(heartbeat), now))
+            continue;
+        const PeerClock& clock = this->recordClock(valueOf(heartbeat), now);
+        if (this->onHeartbeat)
+            this->onHeartbeat(valueOf(heartbeat), clock);
     }
 }
 
--- a/src/libs/forwarding/heartbeatexchange.h
+++ b/src/libs/forwarding/heartbeatexchange.h
@@ -46,11 +46,23 @@
     /// Called with each permit message and the address of its sender.
     std::function<void(const PermitMessage&, const HostPort& from)> onPermitMessage;
 
-    /// Called with each heartbeat of a registered instance.
-    std::function<void(const Heartbeat&)> onHeartbeat;
+    /// Called with each heartbeat of a registered instance, and what is known of its clock.
+    std::function<void(const Heartbeat&, const PeerClock&)> onHeartbeat;
+
+    /// To be called after a pause of the process: the local clock may not have counted it.
+    void forgetClocks() { this->clocks.clear(); }
 
 private:
+    /// The clock of the instance's current incarnation.
+    struct KnownClock {
+        std::uint64_t incarnation = 0;
+        PeerClock clock;
+    };
+
     Awaitable<void> receiveLoop();
+    std::string withClockFor(const InstanceInfo& target, const std::string& text, TimePoint now) const;
+    const PeerClock& recordClock(const Heartbeat& heartbeat, TimePoint now);
+    void forgetUnregistered(const std::vector<InstanceInfo>& registered);
     void receivePermitMessage(std::string_view text, const asio::ip::udp::endpoint& sender, TimePoint now);
 
     asio::any_io_executor executor;
@@ -58,6 +70,7 @@
     asio::ip::udp::socket socket;
     HeartbeatTiming timing;
     std::map<std::string, TimePoint> lastSent;
+    std::map<std::string, KnownClock> clocks; ///< By instance.
     std::array<char, 2048> datagram {};
 };
 
--- a/src/libs/platform/currency.cpp
+++ b/src/libs/platform/currency.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace clementinefall::platform {
@@ -83,6 +84,9 @@
 
 void recordStoreRevision(StoreCurrency& currency, StorePosition position, TimePoint asOf)
 {
+    if (std::tie(position.era, position.revision)
+        > std::tie(currency.newestPosition.era, currency.newestPosition.revision))
+        currency.newestPosition = position;
     for (auto& [name, kind] : currency.kinds) {
         skipKnownRevisions(currency, kind);
         if (kind.position.era == position.era && kind.position.revision >= position.revision)
--- a/src/libs/platform/currency.h
+++ b/src/libs/platform/currency.h
@@ -45,6 +45,7 @@
     std::map<std::string, KindCurrency, std::less<>> kinds;
     std::uint64_t era = 0; ///< Of `knownRevisions`.
     std::set<std::uint64_t> knownRevisions;
+    StorePosition newestPosition; ///< The newest one that an answer of the store has told, for whatever kind.
 };
 
 /// Records a list.
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -37,6 +37,7 @@
 {
     this->isStopped = true;
     this->delayTimer.cancel();
+    this->abandonCall();
 }
 
 void KindWatcher::recordFailure(const Error& error)
@@ -121,8 +122,21 @@
 {
     const TimePoint start = Clock::now();
     const milliseconds wait = this->hasCaughtUp ? this->options.wait : catchUpWait;
+    const auto call = std::make_shared<PendingCall>(this->executor);
+    this->pending = call;
+    http::spawn(
+        this->executor, "watch_call",
+        [call, source = this->source, kind = this->kind, position = this->position, wait,
+            freshness = this->options.freshness] {
+            return KindWatcher::callSource(source, call, kind, position, wait, freshness);
+        },
+        [call] { call->end(); });
+    co_await call->done.async_wait(useTuple);
+    if (this->pending != call)
+        co_return true;
+    this->pending.reset();
     const Result<ChangeSet> result
-        = co_await this->source->changes(this->kind, this->position, wait, this->options.freshness);
+        = call->result ? *call->result : makeError(ResultCode::PlatformUnreachable, "the call ended without a result");
     if (!isOk(result)) {
         this->needsList = true;
         if (errorOf(result).code == ResultCode::PlatformHistoryLost) {
@@ -144,6 +158,13 @@
         this->sinceLastList.isAfterOutage = true;
         co_return true;
     }
+    this->applyChanges(changes);
+    this->recordCaughtUp();
+    co_return true;
+}
+
+void KindWatcher::applyChanges(const ChangeSet& changes)
+{
     const std::uint64_t knownBefore = this->position.revision;
     this->position.revision = std::max(knownBefore, changes.revision);
     // Stays set when an exception ends the handler: what was not applied is in the next list.
@@ -153,7 +174,53 @@
     this->needsList = false;
     if (this->onAnswer)
         this->onAnswer(changes, knownBefore);
-    this->recordCaughtUp();
+}
+
+Awaitable<void> KindWatcher::callSource(std::shared_ptr<ObjectSource> source, std::shared_ptr<PendingCall> call,
+    std::string kind, StorePosition position, milliseconds wait, Freshness freshness)
+{
+    call->result = co_await source->changes(std::move(kind), position, wait, freshness);
+    call->end();
+}
+
+void KindWatcher::abandonCall()
+{
+    const auto call = std::exchange(this->pending, nullptr);
+    if (call)
+        call->end();
+}
+
+Awaitable<bool> KindWatcher::verify(milliseconds timeout)
+{
+    const auto self = this->shared_from_this();
+    if (!this->hasListed || this->needsList || this->isStopped)
+        co_return true;
+    const StorePosition before = this->position;
+    const Result<ChangeSet> result = co_await this->source->changesNow(this->kind, before, timeout);
+    if (this->isStopped || this->needsList || this->position != before)
+        co_return isOk(result); // The objects were listed, or changes arrived, meanwhile.
+    if (!isOk(result)) {
+        if (errorOf(result).code != ResultCode::PlatformHistoryLost)
+            co_return false;
+        logInfo("store_history_lost", { { "kind", this->kind }, { "revision", before.revision } });
+        this->needsList = true;
+        this->abandonCall();
+        co_return true;
+    }
+    const ChangeSet& changes = valueOf(result);
+    if (this->detectRestore(changes.era)) {
+        this->abandonCall();
+        co_return true;
+    }
+    if (changes.era < before.era)
+        co_return false;
+    if (!changes.changes.empty()) {
+        logInfo("missed_changes_found",
+            { { "kind", this->kind }, { "revision", changes.revision }, { "before", before.revision },
+                { "changes", changes.changes.size() } });
+        this->abandonCall();
+    }
+    this->applyChanges(changes);
     co_return true;
 }
 
@@ -163,6 +230,8 @@
     while (!this->isStopped) {
         const bool succeeded = this->needsList ? co_await this->listOnce() : co_await this->watchOnce();
         Duration delay = this->options.minimumInterval;
+        if (this->isStopped)
+            break;
         if (!succeeded)
             delay = std::min<Duration>(backoffDelay(this->failures, this->random), this->options.maximumBackoff);
         else if (this->needsList || std::exchange(this->mustWatchAtOnce, false))
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,10 @@
     virtual Awaitable<Result<ChangeSet>> changes(
         std::string kind, StorePosition position, milliseconds wait, Freshness freshness)
         = 0;
+
+    /// Changes after \a position, which the store itself returns at once. Uses a new connection, since those in use may
+    /// have become silent. Errors: as above.
+    virtual Awaitable<Result<ChangeSet>> changesNow(std::string kind, StorePosition position, milliseconds timeout) = 0;
 };
 
 /// What happened since the previous list.
@@ -119,14 +124,36 @@
     void start();
     void stop();
 
+    /// Asks the store itself for changes, beside the watch under way, whose answer may have been lost. When there are
+    /// some, they are applied and the watch begins anew. Returns whether the store has responded. Does nothing while
+    /// the objects are being listed.
+    Awaitable<bool> verify(milliseconds timeout);
+
     /// Whether the set was listed and no call has failed since.
     bool isInSync() const { return this->hasListed && this->failures == 0; }
     TimePoint lastSuccess() const { return this->lastSuccessAt; }
 
 private:
+    /// A watch call under way. One that is abandoned ends by itself, and its answer is not used.
+    struct PendingCall {
+        explicit PendingCall(const asio::any_io_executor& executor)
+            : done(executor, TimePoint::max())
+        {
+        }
+        /// Ends the wait for the call, also one that has not begun yet.
+        void end() { this->done.expires_at(TimePoint::min()); }
+
+        asio::steady_timer done; ///< Expires when the call has ended or is abandoned.
+        std::optional<Result<ChangeSet>> result;
+    };
+
     Awaitable<void> run();
     Awaitable<bool> listOnce();
     Awaitable<bool> watchOnce();
+    static Awaitable<void> callSource(std::shared_ptr<ObjectSource> source, std::shared_ptr<PendingCall> call,
+        std::string kind, StorePosition position, milliseconds wait, Freshness freshness);
+    void abandonCall();
+    void applyChanges(const ChangeSet& changes);
     void recordFailure(const Error& error);
     void recordSuccess();
     void recordCaughtUp();
@@ -140,6 +167,7 @@
     asio::steady_timer delayTimer;
     Random random;
     StorePosition position;
+    std::shared_ptr<PendingCall> pending;
     unsigned failures = 0;
     bool needsList = true;
     bool hasListed = false;
--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -20,7 +20,7 @@
 constexpr double watcherWaitFraction = 0.15;
 constexpr double followerWaitFraction = 0.2;
 constexpr double responseAllowanceFraction = 0.12;
-constexpr double freshnessFraction = 0.5;
+constexpr double freshnessFraction = 0.55;
 constexpr double outageToleranceFraction = 0.6;
 
 /// Time within which the instances of a fleet register that starts as a whole.
@@ -57,10 +57,12 @@
     return response;
 }
 
-std::string encodeChanges(std::uint64_t era, const LoggedChanges& changes, Duration age)
+/// The age is rounded up and the wait down, so that the knowledge never appears younger than it is.
+std::string encodeChanges(std::uint64_t era, const LoggedChanges& changes, Duration age, Duration waited)
 {
-    return fmt::format(R"({{"era":{},"revision":{},"age_ms":{},"changes":[{}]}})", era, changes.revision,
-        std::chrono::duration_cast<milliseconds>(age).count(), fmt::join(changes.changes, ","));
+    return fmt::format(R"({{"era":{},"revision":{},"age_ms":{},"waited_ms":{},"changes":[{}]}})", era, changes.revision,
+        std::chrono::ceil<milliseconds>(age).count(), std::chrono::floor<milliseconds>(waited).count(),
+        fmt::join(changes.changes, ","));
 }
 
 } // namespace
@@ -102,10 +104,12 @@
     return timing;
 }
 
-StoreRelay::StoreRelay(asio::any_io_executor relayExecutor, std::string kind, RelayTiming relayTiming)
+StoreRelay::StoreRelay(asio::any_io_executor relayExecutor, std::string kind, RelayTiming relayTiming,
+    std::shared_ptr<const StoreCurrency> storeCurrency)
     : executor(std::move(relayExecutor))
     , leadingKind(std::move(kind))
     , timing(relayTiming)
+    , currency(std::move(storeCurrency))
 {
 }
 
@@ -128,18 +132,6 @@
         this->wake();
 }
 
-void StoreRelay::recordContact(std::string_view kind, TimePoint at)
-{
-    if (this->isLeading(kind))
-        this->contactAt = std::max(this->contactAt, at);
-}
-
-void StoreRelay::forgetContact()
-{
-    this->contactAt = {};
-    this->wake();
-}
-
 void StoreRelay::wake()
 {
     for (const auto& weak : std::exchange(this->waiting, {})) {
@@ -148,22 +140,24 @@
     }
 }
 
-bool StoreRelay::isFresh(const Kind& kind) const
+bool StoreRelay::isFresh(const Call& call) const
 {
-    return kind.isInSync && kind.log.revision > 0 && Clock::now() - this->contactAt < this->timing.freshness;
+    return call.kind->isInSync && call.kind->log.revision > 0 && this->age(call) < this->timing.freshness;
 }
 
-http::Response StoreRelay::response(const Kind& kind, StorePosition after) const
+http::Response StoreRelay::response(const Call& call, Duration waited) const
 {
-    if (!this->isFresh(kind))
+    const Kind& kind = *call.kind;
+    const StorePosition& after = call.after;
+    if (!this->isFresh(call))
         return textResponse(503, "not in sync with the store");
     if (after.era > kind.log.era)
         return textResponse(503, "the restore of the store has not been seen here yet");
-    const Duration age = Clock::now() - this->contactAt;
+    const Duration age = this->age(call);
     if (after.era < kind.log.era)
-        return http::jsonResponse(200, encodeChanges(kind.log.era, { kind.log.revision, {} }, age));
+        return http::jsonResponse(200, encodeChanges(kind.log.era, { kind.log.revision, {} }, age, waited));
     if (const std::optional<LoggedChanges> changes = changesAfter(kind.log, after.revision))
-        return http::jsonResponse(200, encodeChanges(kind.log.era, *changes, age));
+        return http::jsonResponse(200, encodeChanges(kind.log.era, *changes, age, waited));
     // Objects that are missing after an outage may still come back, which a follower must be told.
     return kind.log.restartedAfterOutage ? textResponse(503, "the changes were lost in an outage of the store")
                                          : textResponse(410, "the changes are no longer known");
@@ -181,18 +175,19 @@
         co_return;
     }
     const Kind& kind = *call->kind;
-    const TimePoint until = Clock::now() + call->wait;
+    const TimePoint arrival = Clock::now();
+    const TimePoint until = arrival + call->wait;
     while (Clock::now() < until) {
-        if (!this->isFresh(kind) || kind.log.era != call->after.era || kind.log.revision > call->after.revision)
+        if (!this->isFresh(*call) || kind.log.era != call->after.era || kind.log.revision > call->after.revision)
             break;
         // Not longer than this instance stays fresh, so that its followers learn in time that it has lost the store.
-        const TimePoint freshUntil = this->contactAt + this->timing.freshness;
+        const TimePoint freshUntil = Clock::now() + this->timing.freshness - this->age(*call);
         auto timer = std::make_shared<asio::steady_timer>(this->executor, std::min(until, freshUntil));
         std::erase_if(this->waiting, [](const auto& weak) { return weak.expired(); });
         this->waiting.push_back(timer);
         co_await timer->async_wait(useTuple);
     }
-    http::Response response = this->response(kind, call->after);
+    http::Response response = this->response(*call, Clock::now() - arrival);
     co_await exchange->respond(std::move(response));
 }
 
@@ -213,7 +208,10 @@
         return std::nullopt;
     const auto longest
         = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(this->timing.followerWait).count());
-    return Call { .kind = &kind->second, .after = { *era, *after }, .wait = milliseconds(std::min(*waitMs, longest)) };
+    return Call { .name = kind->first,
+        .kind = &kind->second,
+        .after = { *era, *after },
+        .wait = milliseconds(std::min(*waitMs, longest)) };
 }
 
 RelayedSource::RelayedSource(asio::any_io_executor sourceExecutor, std::shared_ptr<ObjectSource> objectStore,
@@ -289,6 +287,11 @@
     }
 }
 
+Awaitable<Result<ChangeSet>> RelayedSource::changesNow(std::string kind, StorePosition position, milliseconds timeout)
+{
+    return this->store->changesNow(std::move(kind), position, timeout);
+}
+
 Awaitable<Result<ChangeSet>> RelayedSource::askWatchers(
     std::vector<HostPort> addresses, std::string kind, StorePosition position)
 {
@@ -305,11 +308,8 @@
         const bool isUsed = isOk(relayed) && valueOf(relayed).age < this->timing.freshness;
         if (this->onWatcherCall)
             this->onWatcherCall(isUsed);
-        if (isUsed) {
-            if (valueOf(relayed).changes.era == position.era)
-                this->relay->recordContact(kind, Clock::now() - valueOf(relayed).age);
+        if (isUsed)
             co_return valueOf(relayed).changes;
-        }
         last = isOk(relayed) ? makeError(ResultCode::PlatformBadAnswer, "the watcher has lost the store")
                              : errorOf(relayed);
         if (last.code == ResultCode::PlatformHistoryLost)
@@ -330,10 +330,7 @@
 {
     const Result<ChangeSet> result = co_await this->store->changes(kind, position, wait, freshness);
     const TimePoint now = Clock::now();
-    // A response of another era shows only that what is known here must be listed again.
-    if (isOk(result) && freshness == Freshness::Latest && valueOf(result).era == position.era)
-        this->relay->recordContact(kind, now);
-    else if (!isOk(result) && errorOf(result).code != ResultCode::PlatformHistoryLost)
+    if (!isOk(result) && errorOf(result).code != ResultCode::PlatformHistoryLost)
         this->storeFailedAt = now;
     co_return result;
 }
@@ -367,8 +364,11 @@
         result.changes.revision = document.at("revision").to_number<std::uint64_t>();
         for (const json::value& change : document.at("changes").as_array())
             result.changes.changes.push_back(decodeChange(change));
-        result.changes.asOf = start - result.age;
-        result.changes.source = ProofSource::Watcher;
+        // An older release states the age of another kind, which proves nothing of this one.
+        if (const json::value* waited = document.as_object().if_contains("waited_ms")) {
+            result.changes.asOf = start + milliseconds(waited->to_number<std::uint32_t>()) - result.age;
+            result.changes.source = ProofSource::Watcher;
+        }
         co_return result;
     } catch (const std::exception& error) {
         co_return makeError(ResultCode::PlatformUnreachable, "malformed changes of a watcher: {}", error.what());
--- a/src/libs/platform/storerelay.h
+++ b/src/libs/platform/storerelay.h
@@ -2,6 +2,7 @@
 
 #include "http/exchange.h"
 #include "platform/changelog.h"
+#include "platform/currency.h"
 #include "platform/transport.h"
 
 #include <functional>
@@ -73,24 +74,23 @@
 /// The changes that this instance knows, served to its followers.
 class StoreRelay : public std::enable_shared_from_this<StoreRelay> {
 public:
-    /// \a leadingKind is the kind that is watched with short calls. An instance counts as in contact with the store as
-    /// long as these succeed; calls for the other kinds may wait much longer.
-    StoreRelay(asio::any_io_executor relayExecutor, std::string leadingKind, RelayTiming relayTiming);
+    /// \a leadingKind is the kind that is watched with short calls, whose answers prove the other kinds, too, while the
+    /// store does not change. \a storeCurrency tells how old the knowledge of each kind is.
+    StoreRelay(asio::any_io_executor relayExecutor, std::string leadingKind, RelayTiming relayTiming,
+        std::shared_ptr<const StoreCurrency> storeCurrency);
 
     void restart(const std::string& kind, StorePosition position, bool afterOutage);
     void append(const std::string& kind, const ChangeSet& changes);
     /// Whether the last call for \a kind succeeded.
     void setInSync(const std::string& kind, bool isInSync);
-    /// Records that this instance knew the objects of \a kind as of \a at. Only the leading kind counts.
-    void recordContact(std::string_view kind, TimePoint at);
-    /// To be called after a pause of the process. The steady clock may not have counted the pause, so the age of what
-    /// this instance knows would be understated to its followers.
-    void forgetContact();
+    /// Lets waiting calls look at the currency again. To be called after proofs were discarded.
+    void wake();
     bool isLeading(std::string_view kind) const { return kind == this->leadingKind; }
 
-    /// Handles `GET /changes/KIND?after=REVISION&era=N&wait_ms=N`. Status 200 with the changes, or with none and the
-    /// newer era after a restore of the store; 400 for a malformed call, 410 when the changes are no longer known, 503
-    /// when this instance is not in sync with the store.
+    /// Handles `GET /changes/KIND?after=REVISION&era=N&wait_ms=N`. Status 200 with the changes, the age of the
+    /// knowledge of the kind and the time that the call has waited, or with no changes and the newer era after a
+    /// restore of the store; 400 for a malformed call, 410 when the changes are no longer known, 503 when this instance
+    /// is not in sync with the store.
     Awaitable<void> handle(std::shared_ptr<http::Exchange> exchange);
 
 private:
@@ -99,21 +99,22 @@
         bool isInSync = false;
     };
     struct Call {
+        std::string name; ///< Of the kind.
         const Kind* kind = nullptr; ///< In `kinds`, from which nothing is removed.
         StorePosition after; ///< What the follower knows.
         Duration wait {};
     };
     /// Nothing for a malformed call or an unknown kind.
     std::optional<Call> parseCall(std::string_view text) const;
-    http::Response response(const Kind& kind, StorePosition after) const;
-    bool isFresh(const Kind& kind) const;
-    void wake();
+    http::Response response(const Call& call, Duration waited) const;
+    bool isFresh(const Call& call) const;
+    Duration age(const Call& call) const { return ageOf(*this->currency, call.name, Clock::now()); }
 
     asio::any_io_executor executor;
     std::string leadingKind;
     RelayTiming timing;
     std::map<std::string, Kind, std::less<>> kinds;
-    TimePoint contactAt {};
+    std::shared_ptr<const StoreCurrency> currency;
     std::vector<std::weak_ptr<asio::steady_timer>> waiting;
 };
 
@@ -131,6 +132,7 @@
     Awaitable<Result<ObjectSet>> list(std::string kind, Freshness freshness) override;
     Awaitable<Result<ChangeSet>> changes(
         std::string kind, StorePosition position, milliseconds wait, Freshness freshness) override;
+    Awaitable<Result<ChangeSet>> changesNow(std::string kind, StorePosition position, milliseconds timeout) override;
 
     /// Ends the calls to watchers in progress, see Transport::dropConnections().
     void dropConnections();
--- a/src/libs/platform/transport.cpp
+++ b/src/libs/platform/transport.cpp
@@ -71,7 +71,7 @@
     return nullptr;
 }
 
-Awaitable<Result<Response>> Transport::call(Request request, milliseconds timeout)
+Awaitable<Result<Response>> Transport::call(Request request, milliseconds timeout, ConnectionChoice choice)
 {
     const auto self = this->shared_from_this();
     if (!tryConsumeCall(this->budget, Clock::now()))
@@ -81,7 +81,7 @@
     const TimePoint start = Clock::now();
     const TimePoint deadline = start + timeout;
     const HostPort address = this->settings.address;
-    auto connection = this->takeIdleConnection();
+    auto connection = choice == ConnectionChoice::Any ? this->takeIdleConnection() : nullptr;
     if (!connection) {
         connection = std::make_shared<http::ClientConnection>(this->executor);
         const Status connected
--- a/src/libs/platform/transport.h
+++ b/src/libs/platform/transport.h
@@ -4,6 +4,7 @@
 #include "http/clientconnection.h"
 #include "platform/calllimiter.h"
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -15,6 +16,9 @@
     double burst = 20.0;
 };
 
+/// Which connection a call uses. Idle ones may have become silent.
+enum class ConnectionChoice : std::uint8_t { Any, New };
+
 /// HTTP calls to the platform on one thread, with keep-alive connections and a limited call rate. Calls are not
 /// retried.
 class Transport : public std::enable_shared_from_this<Transport> {
@@ -28,7 +32,8 @@
 
     /// The response, whatever its status. Errors: PlatformUnreachable, PlatformTimeout, PlatformBadAnswer,
     /// PlatformBudget. After PlatformTimeout or PlatformUnreachable the call may have taken effect.
-    Awaitable<Result<http::Response>> call(http::Request request, milliseconds timeout);
+    Awaitable<Result<http::Response>> call(
+        http::Request request, milliseconds timeout, ConnectionChoice choice = ConnectionChoice::Any);
 
     /// Sends later calls to \a address. Calls in progress are not affected.
     void setAddress(const HostPort& address);
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -1,11 +1,14 @@
 #include "platform/kindwatcher.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 #include <deque>
 #include <new>
+#include <optional>
 #include <utility>
 
 using namespace clementinefall;
@@ -42,6 +45,8 @@
         this->revisions.push_back(position.revision);
         if (this->watches.empty()) {
             co_await this->neverExpires.async_wait(useTuple);
+            if (this->lateAnswer)
+                co_return *std::exchange(this->lateAnswer, std::nullopt);
             co_return makeError(ResultCode::PlatformUnreachable, "over");
         }
         if (this->respondsLate) {
@@ -54,8 +59,20 @@
         co_return result;
     }
 
+    Awaitable<Result<ChangeSet>> changesNow(std::string, StorePosition position, milliseconds) override
+    {
+        this->verifiedRevisions.push_back(position.revision);
+        REQUIRE_FALSE(this->verifications.empty());
+        const Result<ChangeSet> result = this->verifications.front();
+        this->verifications.pop_front();
+        co_return result;
+    }
+
     asio::io_context& context;
     asio::steady_timer neverExpires;
+    std::optional<ChangeSet> lateAnswer; ///< Of the call that has waited longest, once `neverExpires` is cancelled.
+    std::deque<Result<ChangeSet>> verifications;
+    std::vector<std::uint64_t> verifiedRevisions;
     std::deque<Result<ObjectSet>> lists;
     std::deque<Result<ChangeSet>> watches;
     std::vector<std::uint64_t> revisions;
@@ -274,6 +291,71 @@
         CHECK(listsAfterOutage == std::vector<bool> { false, true });
     }
 
+    SECTION("while a watch waits whose answer was lost")
+    {
+        source->lists = { emptySetAt(7) };
+        source->watches = { ChangeSet { .era = 0, .revision = 8, .changes = {} } };
+        watcher->start();
+        context.run_for(milliseconds(50));
+        REQUIRE(source->revisions.back() == 8);
+        const std::size_t watchesBefore = source->revisions.size();
+        const auto verify = [&](Result<ChangeSet> answer) {
+            source->verifications.push_back(std::move(answer));
+            std::optional<bool> succeeded;
+            asio::co_spawn(
+                context, [&]() -> Awaitable<void> { succeeded = co_await watcher->verify(milliseconds(100)); },
+                asio::detached);
+            context.run_for(milliseconds(50));
+            REQUIRE(succeeded);
+            return *succeeded;
+        };
+
+        SECTION("a verification finds the changes, and the watch begins anew after them")
+        {
+            CHECK(verify(removalOf("a", 9)));
+            CHECK(removedNames == std::vector<std::string> { "a" });
+            REQUIRE(source->revisions.size() == watchesBefore + 1);
+            CHECK(source->revisions.back() == 9);
+        }
+        SECTION("a verification that finds none leaves the watch alone")
+        {
+            CHECK(verify(ChangeSet { .era = 0, .revision = 8, .changes = {} }));
+            CHECK(source->revisions.size() == watchesBefore);
+        }
+        SECTION("a verification that fails changes nothing")
+        {
+            CHECK_FALSE(verify(makeError(ResultCode::PlatformTimeout, "silence")));
+            CHECK(source->revisions.size() == watchesBefore);
+            CHECK(source->listCalls == 1);
+        }
+        SECTION("a verification that finds the history discarded leads to a new list")
+        {
+            source->lists = { emptySetAt(20) };
+            CHECK(verify(makeError(ResultCode::PlatformHistoryLost, "410")));
+            CHECK(source->listCalls == 2);
+            CHECK(source->revisions.back() == 20);
+        }
+        SECTION("a verification that finds the store restored leads to a new list")
+        {
+            source->lists = { emptySetAt(5, 1) };
+            CHECK(verify(ChangeSet { .era = 1, .revision = 5, .changes = {} }));
+            REQUIRE(listsAfterRestore.size() == 2);
+            CHECK(listsAfterRestore.back());
+        }
+        SECTION("its late answer is not applied over what a verification has found")
+        {
+            CHECK(verify(removalOf("a", 9)));
+            source->lateAnswer = removalOf("a, removed again", 9);
+            source->neverExpires.cancel();
+            context.run_for(milliseconds(50));
+            CHECK_FALSE(source->lateAnswer);
+            CHECK(removedNames == std::vector<std::string> { "a" });
+        }
+        watcher->stop();
+        source->neverExpires.cancel();
+        context.run_for(milliseconds(20));
+    }
+
     SECTION("a store that is unreachable at the start is called until it responds")
     {
         source->lists = { makeError(ResultCode::PlatformUnreachable, "refused"),
--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -64,7 +64,9 @@
         ++this->lists;
         if (this->isCut)
             co_return makeError(ResultCode::PlatformUnreachable, "cut off");
-        co_return ObjectSet { .era = this->store.log.era, .revision = this->store.log.revision, .objects = {} };
+        co_return ObjectSet {
+            .era = this->store.log.era, .revision = this->store.log.revision, .objects = {}, .asOf = Clock::now()
+        };
     }
 
     Awaitable<Result<ChangeSet>> changes(std::string, StorePosition position, milliseconds wait, Freshness) override
@@ -84,12 +86,21 @@
         const auto result = changesAfter(this->store.log, position.revision);
         if (!result)
             co_return makeError(ResultCode::PlatformHistoryLost, "history lost");
-        ChangeSet set { .era = position.era, .revision = result->revision, .changes = {} };
+        ChangeSet set { .era = position.era,
+            .revision = result->revision,
+            .changes = {},
+            .asOf = Clock::now(),
+            .source = ProofSource::Store };
         for (const std::string& text : result->changes)
             set.changes.push_back(decodeChange(boost::json::parse(text)));
         co_return set;
     }
 
+    Awaitable<Result<ChangeSet>> changesNow(std::string kindName, StorePosition position, milliseconds) override
+    {
+        return this->changes(std::move(kindName), position, milliseconds(1), Freshness::Latest);
+    }
+
     asio::io_context& context;
     FakeStore& store;
     bool isCut = false;
@@ -103,7 +114,8 @@
 public:
     Instance(asio::io_context& context, FakeStore& store, RelayRole role, std::vector<HostPort> watchers = {})
         : access(std::make_shared<StoreAccess>(context, store))
-        , relay(std::make_shared<StoreRelay>(context.get_executor(), kind, relayTiming(changeBound)))
+        , currency(std::make_shared<StoreCurrency>())
+        , relay(std::make_shared<StoreRelay>(context.get_executor(), kind, relayTiming(changeBound), this->currency))
         , source(std::make_shared<RelayedSource>(
               context.get_executor(), this->access, this->relay, relayTiming(changeBound)))
         , assignment { role, {}, std::move(watchers) }
@@ -120,6 +132,7 @@
             this->listsAfterOutage += circumstances.isAfterOutage ? 1 : 0;
             this->revision = set.revision;
             this->listedAt = { set.era, set.revision };
+            recordList(*this->currency, kind, set);
             this->relay->restart(kind, { set.era, set.revision }, circumstances.isAfterOutage);
         };
         this->watcher->onChanges = [this](const ChangeSet& changes) {
@@ -129,13 +142,23 @@
                 this->removed.insert(change.object.name);
             this->relay->append(kind, changes);
         };
+        this->watcher->onAnswer = [this](const ChangeSet& changes, std::uint64_t knownBefore) {
+            recordChanges(*this->currency, kind, changes, knownBefore);
+        };
         this->watcher->onCall = [this](bool succeeded) { this->relay->setInSync(kind, succeeded); };
         this->watcher->start();
     }
 
     HostPort address() const { return { "127.0.0.1", this->server->port() }; }
 
+    void forgetProofs()
+    {
+        platform::forgetProofs(*this->currency);
+        this->relay->wake();
+    }
+
     std::shared_ptr<StoreAccess> access;
+    std::shared_ptr<StoreCurrency> currency;
     std::shared_ptr<StoreRelay> relay;
     std::shared_ptr<RelayedSource> source;
     std::shared_ptr<KindWatcher> watcher;
@@ -354,8 +377,8 @@
     SECTION("a watcher that was paused is not used before it has asked the store anew")
     {
         const unsigned responses = usedResponses;
-        first.relay->forgetContact();
-        second.relay->forgetContact();
+        first.forgetProofs();
+        second.forgetProofs();
         first.access->isCut = true;
         second.access->isCut = true;
         CHECK(knowsRemovalInTime());
@@ -405,3 +428,56 @@
         CHECK(knowsRemovalInTime());
     }
 }
+
+TEST_CASE("A watcher whose knowledge of one kind is old")
+{
+    asio::io_context context { 1 };
+    const auto currency = std::make_shared<StoreCurrency>();
+    const auto relay = std::make_shared<StoreRelay>(context.get_executor(), kind, relayTiming(changeBound), currency);
+    const auto server = std::make_shared<http::Server>(std::vector<asio::io_context*> { &context },
+        http::ServerLimits {}, [relay](std::shared_ptr<http::Exchange> exchange) { return relay->handle(exchange); });
+    REQUIRE(isOk(server->listen({ "127.0.0.1", 0 })));
+    const TimePoint start = Clock::now();
+    for (const char* name : { "servers", "config" }) {
+        relay->setInSync(name, true);
+        relay->restart(name, { 1, 10 }, false);
+    }
+    recordList(*currency, "servers", { .era = 1, .revision = 10, .objects = {}, .asOf = start });
+    recordList(*currency, "config", { .era = 1, .revision = 10, .objects = {}, .asOf = start - changeBound });
+
+    const auto transport = std::make_shared<Transport>(
+        context.get_executor(), TransportSettings { { "127.0.0.1", server->port() }, 100, 100 });
+    const auto statusOf = [&](const std::string& target) {
+        unsigned status = 0;
+        std::string body;
+        asio::co_spawn(
+            context,
+            [&]() -> Awaitable<void> {
+                http::Request request { http::Verb::get, target, 11 };
+                const auto response = co_await transport->call(std::move(request), seconds(2));
+                REQUIRE(isOk(response));
+                status = valueOf(response).result_int();
+                body = valueOf(response).body();
+            },
+            asio::detached);
+        const TimePoint limit = Clock::now() + seconds(3);
+        while (status == 0 && Clock::now() < limit)
+            context.run_one_for(milliseconds(10));
+        return std::pair(status, body);
+    };
+
+    SECTION("says that it is not in sync for this kind, although its calls for another kind succeed")
+    {
+        CHECK(statusOf("/changes/config?after=10&era=1&wait_ms=1").first == 503);
+        CHECK(statusOf("/changes/servers?after=10&era=1&wait_ms=1").first == 200);
+    }
+    SECTION("states the age of the kind that was asked for")
+    {
+        recordStoreRevision(*currency, { 1, 10 }, start - changeBound / 4);
+        const auto [status, body] = statusOf("/changes/config?after=10&era=1&wait_ms=1");
+        REQUIRE(status == 200);
+        CHECK(boost::json::parse(body).at("age_ms").to_number<unsigned>() >= 250);
+    }
+    server->close();
+    context.run_for(milliseconds(20));
+}
