Freeze instances of the relay's test between calls

Cause: the stand-in of a frozen instance answered calls that were under way when it froze.

Change: the freeze waits until no call is under way at either instance. All checks stay; the follower now meets two silent instances in each run.

--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -168,7 +168,8 @@
     StorePosition listedAt;
     std::uint64_t revision = 0;
     unsigned listsAfterOutage = 0;
-    bool isFrozen = false; ///< Accepts calls and never responds.
+    bool isFrozen = false; ///< Accepts calls and never responds; calls under way still end.
+    unsigned callsUnderWay = 0;
 
 private:
     Awaitable<void> handle(std::shared_ptr<http::Exchange> exchange)
@@ -178,7 +179,9 @@
             co_await timer.async_wait(useTuple);
             co_return;
         }
+        ++this->callsUnderWay;
         co_await this->relay->handle(exchange);
+        --this->callsUnderWay;
     }
 };
 
@@ -316,6 +319,9 @@
     }
     SECTION("also when the first two instances have just been frozen")
     {
+        // A call under way would still be answered, and the store would not be needed.
+        while (first.callsUnderWay + second.callsUnderWay > 0)
+            context.run_one();
         first.isFrozen = true;
         second.isFrozen = true;
         CHECK(knowsRemovalInTime());
