Let one instance verify first for all zones without a watcher

Change: among the instances of zones without a watcher the first by hash watches the servers with short calls, as the watcher of a zone does, and reports each proof at once. The others verify only when they have not heard of one. A report that the own watch catches up with leads to no call.

--- a/src/libs/forwarding/heartbeatexchange.cpp
+++ b/src/libs/forwarding/heartbeatexchange.cpp
@@ -125,10 +125,17 @@
 }
 
 void HeartbeatExchange::sendToAll(const Heartbeat& heartbeat, TimePoint now)
+{
+    this->sendTo(this->table->others(), heartbeat, now);
+}
+
+void HeartbeatExchange::sendTo(const std::vector<InstanceInfo>& targets, const Heartbeat& heartbeat, TimePoint now)
 {
     const std::string text = encodeHeartbeat(heartbeat, now);
-    for (const InstanceInfo& target : this->table->others())
-        this->sendTo(target.heartbeats, this->withClockFor(target, text, now));
+    for (const InstanceInfo& target : targets) {
+        if (target.name != this->table->localInstance().name)
+            this->sendTo(target.heartbeats, this->withClockFor(target, text, now));
+    }
 }
 
 Awaitable<void> HeartbeatExchange::receiveLoop()
--- a/src/libs/forwarding/heartbeatexchange.h
+++ b/src/libs/forwarding/heartbeatexchange.h
@@ -39,6 +39,8 @@
     void sendDue(const Heartbeat& heartbeat, TimePoint now);
     /// Sends to every instance immediately, when this instance starts or stops.
     void sendToAll(const Heartbeat& heartbeat, TimePoint now);
+    /// Sends to \a targets immediately, but for this instance.
+    void sendTo(const std::vector<InstanceInfo>& targets, const Heartbeat& heartbeat, TimePoint now);
 
     /// Sends \a text to the socket of another instance. It may be lost, like a heartbeat.
     void sendTo(const HostPort& instance, const std::string& text);
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -117,6 +117,22 @@
     return result;
 }
 
+std::vector<InstanceInfo> InstanceTable::liveInSmallZones(std::size_t maximum, TimePoint now) const
+{
+    std::map<std::string, std::vector<InstanceInfo>> byZone;
+    byZone[this->localInfo.zone].push_back(this->localInfo);
+    for (const auto& [name, entry] : this->registered) {
+        if (this->isLive(entry, now) && entry.state != InstanceState::Stopping)
+            byZone[entry.info.zone].push_back(entry.info);
+    }
+    std::vector<InstanceInfo> result;
+    for (const auto& [zone, instances] : byZone) {
+        if (instances.size() <= maximum)
+            result.insert(result.end(), instances.begin(), instances.end());
+    }
+    return result;
+}
+
 std::vector<InstanceInfo> InstanceTable::liveInZone(TimePoint now) const
 {
     std::vector<InstanceInfo> result;
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -70,6 +70,8 @@
 
     /// The other instances of the local zone that are live and not stopping.
     std::vector<InstanceInfo> liveInZone(TimePoint now) const;
+    /// Live instances, this one included, whose zone has at most \a maximum of them.
+    std::vector<InstanceInfo> liveInSmallZones(std::size_t maximum, TimePoint now) const;
     /// Names of the instances of the local region from which the senders to cold servers are chosen, including this
     /// one. Those without a heartbeat stay for `senderRetention`: instances that cannot hear of each other must choose
     /// the same senders, otherwise their number grows with that of the groups. Empty before the first list of
--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -257,7 +257,9 @@
     }
     if (assigned.role != RelayRole::Follower) {
         // Short calls for one kind are enough to know whether the store can be reached.
-        const bool mustStayFresh = assigned.role == RelayRole::Watcher && this->relay->isLeading(kind);
+        const bool hasDependents
+            = assigned.role == RelayRole::Watcher || (this->provesForOthers && this->provesForOthers());
+        const bool mustStayFresh = hasDependents && this->relay->isLeading(kind);
         const milliseconds watcherWait = std::chrono::duration_cast<milliseconds>(this->timing.watcherWait);
         co_return co_await this->askStore(
             kind, position, mustStayFresh ? std::min(wait, watcherWait) : wait, freshness);
--- a/src/libs/platform/storerelay.h
+++ b/src/libs/platform/storerelay.h
@@ -126,6 +126,8 @@
 
     /// What this instance is to do; asked before each call.
     std::function<RelayAssignment()> assignment;
+    /// Whether the other instances of zones without a watcher rely on the proofs of this one.
+    std::function<bool()> provesForOthers;
     /// Called after each call to a watcher with whether its response was used.
     std::function<void(bool)> onWatcherCall;
 
--- a/src/libs/platform/verification.h
+++ b/src/libs/platform/verification.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// When an instance verifies what it knows of a kind of objects with a call of its own to the store. The calls that
 /// wait for changes may stay without an answer; their connection may be silent while others work.
@@ -22,15 +23,25 @@
     Duration maximumTimeout {};
 };
 
-/// \a share is between 0 and 1 and differs between the instances, so that the first one verifies for all that hear from
-/// it. \a hasWatcher tells that this instance asks another one of its zone.
-VerificationTiming verificationTiming(Duration changeBound, double share, bool hasWatcher);
+/// Which instances verify first. The others hear of it and need no call of their own.
+enum class VerificationRank : std::uint8_t {
+    First, ///< Of the instances whose zone has no watcher. It watches with short calls and reports their proofs.
+    Second,
+    Other,
+};
+
+/// The rank of \a self among \a instances, ordered by hash. Instances that know the same ones agree. Other for one that
+/// is not among them.
+VerificationRank verificationRank(const std::string& self, const std::vector<std::string>& instances);
+
+VerificationTiming verificationTiming(Duration changeBound, VerificationRank rank);
 
 /// What was tried for one kind.
 struct VerificationState {
     unsigned failures = 0; ///< Since the last success.
     TimePoint notBefore {}; ///< Of the next call.
-    TimePoint behindSince {}; ///< Another instance reports a change that is not known here; unset if none does.
+    StorePosition reported; ///< Of the newest change that another instance has reported and that was not known here.
+    TimePoint behindSince {}; ///< When it was reported first.
 };
 
 /// When the kind is to be verified next. Nothing before its first proof: its lists and watches are under way then.
@@ -40,6 +51,9 @@
 /// Time allowed for the next call.
 Duration verificationTimeout(const VerificationState& state, const VerificationTiming& timing);
 
+/// Records that another instance knows a change at \a reported that is not known here.
+void recordBehind(VerificationState& state, const KindCurrency& kind, StorePosition reported, TimePoint now);
+
 void recordVerification(VerificationState& state, const VerificationTiming& timing, bool succeeded, TimePoint now);
 
 } // namespace clementinefall::platform
