--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -235,6 +235,35 @@
     }
 }
 
+TEST_CASE("Instances of zones that are too small for a watcher")
+{
+    InstanceTable table(instanceOf("self", "a", "north", 100));
+    table.setRegistered({ instanceOf("neighbour", "a", "north", 200), instanceOf("b1", "b", "north", 300),
+                            instanceOf("b2", "b", "north", 400), instanceOf("b3", "b", "north", 500) },
+        start);
+    const auto names = [&table](TimePoint at) {
+        std::vector<std::string> result;
+        for (const InstanceInfo& info : table.liveInSmallZones(2, at))
+            result.push_back(info.name);
+        return result;
+    };
+
+    SECTION("are those of the local zone and of others, without the zones that have a watcher")
+    {
+        CHECK(names(start) == std::vector<std::string> { "self", "neighbour" });
+    }
+    SECTION("join them when their zone shrinks, and leave when they stop")
+    {
+        table.recordHeartbeat(heartbeatOf(instanceOf("b3", "b", "north", 500), InstanceState::Stopping), start);
+        table.recordHeartbeat(heartbeatOf(instanceOf("neighbour", "a", "north", 200), InstanceState::Stopping), start);
+        CHECK(names(start) == std::vector<std::string> { "self", "b1", "b2" });
+    }
+    SECTION("are this one alone when no other is heard of")
+    {
+        CHECK(names(start + seconds(4)) == std::vector<std::string> { "self" });
+    }
+}
+
 TEST_CASE("Senders to a cold server while instances cannot hear of each other")
 {
     std::vector<InstanceInfo> fleet;
