--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -193,7 +193,7 @@
 Awaitable<bool> KindWatcher::verify(milliseconds timeout)
 {
     const auto self = this->shared_from_this();
-    if (!this->hasListed || this->needsList || this->isStopped)
+    if (!this->isVerifiable())
         co_return true;
     const StorePosition before = this->position;
     const Result<ChangeSet> result = co_await this->source->changesNow(this->kind, before, timeout);
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -125,9 +125,11 @@
     void stop();
 
     /// Asks the store itself for changes, beside the watch under way, whose answer may have been lost. When there are
-    /// some, they are applied and the watch begins anew. Returns whether the store has responded. Does nothing while
-    /// the objects are being listed.
+    /// some, they are applied and the watch begins anew. Returns whether the store has responded; true,
+    /// without a call, when isVerifiable() is false.
     Awaitable<bool> verify(milliseconds timeout);
+    /// Whether the objects were listed and need not be listed again.
+    bool isVerifiable() const { return this->hasListed && !this->needsList && !this->isStopped; }
 
     /// Whether the set was listed and no call has failed since.
     bool isInSync() const { return this->hasListed && this->failures == 0; }
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -331,6 +331,7 @@
         SECTION("a verification that finds the history discarded leads to a new list")
         {
             source->lists = { emptySetAt(20) };
+            CHECK(watcher->isVerifiable());
             CHECK(verify(makeError(ResultCode::PlatformHistoryLost, "410")));
             CHECK(source->listCalls == 2);
             CHECK(source->revisions.back() == 20);
