End the processes of a case also when the case itself is stopped

The scripts of the second review left their processes running if they got SIGTERM, as by their own time limit. They end them now and exit with 2.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -464,9 +464,10 @@
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"disruption: {'on' if trouble else 'off'}")
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # Also a case that is stopped ends its processes.
     try:
         broken = asyncio.run(main(record, trouble))
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, KeyboardInterrupt) as error:  # pylint: disable=broad-except
         record.say(f"the case could not run: {error!r}")
         sys.exit(2)
     record.say("the rule was broken" if broken else "the rule held")
