Make the stale pages case 8, and set the old grace period aside

A restarted process uses a backend that has left, as ObjectStore::list takes the revision of the first page for all pages of a stale list.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,151 +1,183 @@
-"""The platform shortens grace_s in the settings file, without a signal, and stops the machine a second later. The
-process goes by the old grace period: it still waits for the first of two pipelined requests when it is killed, and never
-sends the answer to the second one, which its server had given long before. The servers have room for all requests."""
+"""A backend leaves while a process is restarted, and the store answers the pages of a stale list from two replicas."""
 
 import asyncio
 import collections
+import hashlib
 import pathlib
-import random
+import resource
 import signal
 import sys
 import time
-
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "lib2"))
-from standins import (Backend, Node, Store, answer_body, configuration, encode, read_message,  # noqa: E402
-                      request_bytes, route, run_case, service)
-
-OLD_GRACE_SECONDS, NEW_GRACE_SECONDS = 6.0, 2.0
-CHANGE_BEFORE_STOP_SECONDS = 1.0
-CALLERS = 16
-WARM_UP_SECONDS = 6.0
-# Work of `complyread`: 2.56 s with a spread of 0.15, and 0.7 less at a server that has the object.
-WORK_SECONDS = {"/comply/cold": 2.56, "/comply/warm": 0.77}
-
-
-class Judge:
-    """Judges LOST around a SIGTERM, from what callers, backend servers and the platform see."""
-
-    def __init__(self, backends, record):
-        self.backends, self.record = backends, record
-        self.stopped_at, self.grace = None, OLD_GRACE_SECONDS
-        self.answers, self.lost, self.excused = collections.Counter(), [], 0
-
-    def work_ended_at(self, request_id):
-        """When its run ended; None if a backend server has not ended it, or has it in its queue."""
-        return next((backend.ended[request_id] for backend in self.backends if request_id in backend.ended), None)
-
-    def end_without_answer(self, request_id, sent_at, ended_at):
-        """Only a request that was passed on, and whose server was done before the last sixth of the grace period, is
-        lost. Those that were not passed on, or were sent later than the page's excuse, are left out too."""
-        if self.stopped_at is None or not self.stopped_at < ended_at <= self.stopped_at + self.grace + 1:
-            return
-        work_ended_at = self.work_ended_at(request_id)
-        if work_ended_at is None or work_ended_at >= self.stopped_at + self.grace * 5 / 6:
-            self.excused += 1
-            return
-        self.lost.append(request_id)
-        self.record(f"LOST {request_id}: sent {sent_at - self.stopped_at:+.2f} s, its server done "
-                    f"{work_ended_at - self.stopped_at:+.2f} s and cut {ended_at - self.stopped_at:+.2f} s after the SIGTERM")
-
-
-class SlowBackend(Backend):
-    """Works as long as the path says, and remembers when its runs ended."""
-
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
-        self.ended = {}
-
-    async def respond(self, writer, line, fields, _body):
-        request_id = fields["attempt-id"]
-        self.begin(fields)
-        await asyncio.sleep(WORK_SECONDS[line[1]] * random.uniform(0.85, 1.15))
-        self.ended[request_id] = time.monotonic()
-        self.record(f"done {request_id}")
-        writer.write(encode("HTTP/1.1 200 OK", self.head(fields), answer_body(request_id, 1500)))
-
-
-async def caller(number, node, judge, record, stop):
-    """Sends two lookups behind each other on a kept connection, and the next two when both are answered."""
-    count, connection = 0, None
-    await asyncio.sleep(random.uniform(0, 2.5))
-    while not stop.is_set() and node.is_running():
-        sent = []
+import urllib.parse
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib3"))
+from parts import (BROKEN, HELD, NOT_RUN, Node, Store, configuration, is_troubled, message, read_message, route,
+                   run_case, server_entry, service)
+
+DRAIN_S, STABLE_WINDOW_S = 4.0, 5.0
+REPLICA_LAG_S = 3.0
+OTHER_BACKENDS = 600  # Of another service; together they take two pages of a list.
+SERVES_ON_S = 16.0  # For which the leaving backend serves on after its entry was removed.
+RESTART_S = 1.0  # From the end of the process until the platform starts it again.
+WORK_S = 0.6
+BOUNDS = {"drain_s": DRAIN_S, "config_apply_s": 4, "grace_s": 10, "retry_budget_ratio": 0.2, "retry_budget_slack": 430,
+          "ttl_max_s": 5}
+
+
+class ReplicatedStore(Store):
+    """Answers stale lists from two replicas in turn: one is up to date, one is REPLICA_LAG_S behind."""
+
+    def __init__(self, record):
+        super().__init__()
+        self.record = record
+        self.copies = [(time.monotonic(), self.revision, {})]
+        self.turns = collections.Counter()
+
+    def notify(self):
+        self.copies.append((time.monotonic(), self.revision, {k: dict(o) for k, o in self.objects.items()}))
+        super().notify()
+
+    async def handle(self, port, line, fields, body):
+        path, _, query = line[1].partition("?")
+        parameters = dict(urllib.parse.parse_qsl(query))
+        kind = path.removeprefix("/v1/objects/")
+        if line[0] != "GET" or "/" in kind or "watch" in parameters or parameters.get("allow_stale") != "1":
+            return await super().handle(port, line, fields, body)
+        self.turns[kind] += 1
+        is_behind = self.turns[kind] % 2 == 0
+        latest = time.monotonic() - (REPLICA_LAG_S if is_behind else 0)
+        _, revision, objects = [copy for copy in self.copies if copy[0] <= latest or copy is self.copies[0]][-1]
+        after = parameters.get("after", "")
+        found = objects.get(kind, {})
+        names = sorted(name for name in found if name > after)
+        self.record(f"store: stale list of {kind} after '{after}' as of revision {revision} of {self.revision}")
+        return 200, {"items": [found[name] for name in names[:500]], "more": len(names) > 500,
+                     "store_revision": revision}
+
+
+class Backend:
+    def __init__(self, name, record):
+        self.name, self.record, self.arrivals, self.writers, self.running = name, record, [], set(), set()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
-            if connection is None:
-                connection = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", node.port), 1)
-            for path in WORK_SECONDS:
-                count += 1
-                request_id = f"{number:04x}{count:012x}"
-                connection[1].write(request_bytes("GET", path, request_id, 12000))
-                sent.append((request_id, time.monotonic()))
-                record(f"send {request_id} {path}")
-        except (OSError, asyncio.TimeoutError):
-            connection = None
-        for request_id, sent_at in sent:
-            answer = None
-            if connection is not None:
-                try:
-                    answer = await asyncio.wait_for(read_message(connection[0]), 13)
-                except (OSError, asyncio.TimeoutError):
-                    pass
-            status = answer[0][1] if answer else "none"
-            record(f"answer {request_id} {status}")
-            judge.answers[status] += 1
-            if status == "200" and answer[2] != answer_body(request_id, 1500):
-                raise RuntimeError("a caller got a wrong body")
-            if answer is None:
-                judge.end_without_answer(request_id, sent_at, time.monotonic())
-            elif answer[1].get("connection") == "close":
-                break  # What was sent behind it counts as not read.
-        if not sent or answer is None or answer[1].get("connection") == "close":
-            if connection is not None:
-                connection[1].close()
-            connection = None
+            while request := await read_message(reader):
+                _, fields, body = request
+                attempt = fields["attempt-id"]
+                if fields.get("expect-instance") != self.name:
+                    writer.write(message("HTTP/1.1 421 X", {"Attempt-Id": attempt, "Instance-Id": self.name}))
+                    continue
+                self.arrivals.append((time.monotonic(), attempt))
+                self.record(f"{self.name} runs {attempt}")
+                self.running.add(attempt)
+                await asyncio.sleep(WORK_S)
+                self.running.discard(attempt)
+                writer.write(message("HTTP/1.1 200 OK", {
+                    "Attempt-Id": attempt, "Response-Seal": f"{self.name}.{attempt}", "Keep-Alive": "timeout=10"},
+                    hashlib.sha256(body).hexdigest().encode()))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass  # The process has closed the connection.
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def exit(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+async def charge(node, attempt, record):
+    status = "no connection"
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", node.front), 1)
+        status = "closed"
+        writer.write(message("POST /charge/7 HTTP/1.1", {
+            "Host": "shop.example", "Attempt-Id": attempt, "Deadline-Remaining": 4000}, attempt.encode() * 20))
+        answer = await asyncio.wait_for(read_message(reader), 5)
+        status = answer[0][1] if answer else "closed"
+        writer.close()
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        pass  # The process is being restarted.
+    record(f"client: {attempt} {status}")
+    return status
+
+
+async def case(record, folder, nodes):
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(4096, hard) if hard > 0 else 4096, hard))
+    store = ReplicatedStore(record)
+    store.write("config", "main", configuration(3, {
+        "vendcharge": route("tillgate", "non_idempotent", "/charge/", 3)}, {
+        "tillgate": service(), "ledgerbin": service()}))
+
+    async def ignore(reader, writer):
+        await reader.read()
+        writer.close()
+
+    for number in range(OTHER_BACKENDS):
+        server = await asyncio.start_server(ignore, "127.0.0.1", 0)
+        store.write("servers", "i-" + hashlib.sha256(b"%d" % number).hexdigest()[:8],
+                    server_entry(server.sockets[0].getsockname()[1], "ledgerbin", "merr-a", 6))
+    backends = [Backend(name, record) for name in ("i-10000000", "i-20000000", "i-fffffff0")]
+    for backend in backends:
+        store.write("servers", backend.name, server_entry(await backend.listen(), "tillgate", "merr-a", 4))
+    leaving = backends[-1]
+    node = Node("front-merr-a-1", "merr-a", {"merr-a": "merrimack"}, await store.listen(), folder, BOUNDS)
+    nodes.append(node)
+    await asyncio.sleep(REPLICA_LAG_S + 1)  # Both replicas know all backends.
+    node.start()
+    if not await node.wait_ready():
+        return NOT_RUN
+    sent, charges = {}, []
+
+    async def send_until(condition, limit=30):
+        """Sends a charge every 0.1 s until the condition holds."""
+        deadline = time.monotonic() + limit
+        while not condition() and time.monotonic() < deadline:
+            attempt = f"{len(sent) + 1:016x}"
+            sent[attempt] = time.monotonic()
+            charges.append(asyncio.create_task(charge(node, attempt, record)))
             await asyncio.sleep(0.1)
 
+    def after(seconds):
+        end = time.monotonic() + seconds
+        return lambda: time.monotonic() >= end
 
-async def main(record, trouble):
-    store = Store(record)
-    port = await store.listen()
-    backends = [SlowBackend(record, f"i-{number}", "ledgerbin", slots=6) for number in range(8)]
-    for backend in backends:
-        await backend.listen()
-        store.put("servers", backend.identity, backend.entry())
-    store.put("config", "main", configuration(1, [
-        route("r-comply", "/comply/", "ledgerbin", "idempotent", 6, 1.5, 2), service("ledgerbin")]))
-    node = Node(record, "front-a1-1", port)
-    node.start()
-    judge, stop, tasks = Judge(backends, record), asyncio.Event(), []
-    try:
-        if not await node.ready():
-            raise RuntimeError("the process did not become ready")
-        tasks = [asyncio.create_task(caller(number, node, judge, record, stop)) for number in range(CALLERS)]
-        await asyncio.sleep(WARM_UP_SECONDS)
-        if trouble:
-            node.fields["guarantee_params"]["grace_s"] = int(NEW_GRACE_SECONDS)
-            node.place_settings()
-            judge.grace = NEW_GRACE_SECONDS
-            record.say(f"the settings file has grace_s = {NEW_GRACE_SECONDS:.0f} now")
-        await asyncio.sleep(CHANGE_BEFORE_STOP_SECONDS)
-        judge.stopped_at = time.monotonic()
+    await send_until(after(STABLE_WINDOW_S + 1))
+    if is_troubled():
+        record("SIGTERM")
         node.signal(signal.SIGTERM)
-        while node.is_running() and time.monotonic() < judge.stopped_at + judge.grace:
-            await asyncio.sleep(0.01)
-        if node.is_running():
-            record.say(f"still running {judge.grace:.0f} s after the SIGTERM: the platform kills it")
-            node.signal(signal.SIGKILL)
-        node.process.wait()
-        record.say(f"the process ended {time.monotonic() - judge.stopped_at:.2f} s after the SIGTERM")
-        await asyncio.sleep(0.5)
-        stop.set()
-        await asyncio.wait(tasks, timeout=8)
-        record.say(f"answers {dict(judge.answers)}, cut that may be cut: {judge.excused}, lost: {len(judge.lost)}")
-    finally:
-        for task in tasks:
-            task.cancel()
-        node.end()
-    return bool(judge.lost)
-
-
-if __name__ == "__main__":
-    run_case(main)
+        await send_until(lambda: not node.is_running(), 12)
+    store.delete("servers", leaving.name)
+    removed_at = time.monotonic()
+    record(f"the entry of {leaving.name} is removed, revision {store.revision}")
+    await send_until(after(RESTART_S))
+    if is_troubled():
+        record("the platform starts the process again")
+        node.start()
+        if not await node.wait_ready():
+            return NOT_RUN
+    in_touch_from = time.monotonic() + STABLE_WINDOW_S + 0.5 if is_troubled() else removed_at
+    await send_until(after(removed_at + SERVES_ON_S - time.monotonic()))
+    cut = set(leaving.running)
+    record(f"{leaving.name} exits, with {sorted(cut)}")
+    leaving.exit()
+    await send_until(after(2))
+    await asyncio.gather(*charges)
+    statuses = dict(zip(sent, (task.result() for task in charges)))
+    record(f"answers: {dict(collections.Counter(statuses.values()))}; cut by the exit: { {a: statuses[a] for a in cut} }")
+    late = [at - removed_at for at, attempt in leaving.arrivals
+            if at > removed_at + DRAIN_S and sent[attempt] > in_touch_from]
+    record(f"{len(late)} requests reached {leaving.name} later than {DRAIN_S} s after its entry was removed, sent by a "
+           f"machine in touch, the last one after {max(late, default=0):.1f} s")
+    return BROKEN if late else HELD
+
+
+run_case(__file__, case)
