--- a/review/other-2/crash-in-answer/case.py
+++ b/review/other-2/crash-in-answer/case.py
@@ -13,7 +13,8 @@
 STABLE_WINDOW_S = 4.0
 MOST_RETRIES = 3  # Of the rule, later than STABLE_WINDOW_S after the third crash.
 BACKENDS = 16
-RESTART_S = 3.0  # From a crash until the backend is back.
+RESTART_S = 3.0  # From a crash until the backend is back, under a new id.
+EXPIRY_S = 4.5  # From a crash until the platform removes the entry: three heartbeats.
 COLD_S = 3.0
 WORK_S = 0.64
 REPEAT_S = 3.0  # From the end of an attempt of the crashing request to the next one.
@@ -47,8 +48,9 @@
         self.running.clear()
         name = self.name
         await asyncio.sleep(RESTART_S)
-        self.store.delete("servers", name)
         await self.start(COLD_S)
+        await asyncio.sleep(EXPIRY_S - RESTART_S)
+        self.store.delete("servers", name)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
