--- a/review/10/case.py
+++ b/review/10/case.py
@@ -91,6 +91,7 @@
         route("r-charge", "/pay/", "tillgate", "non_idempotent"), service("tillgate")]))
     node = Node(record, "front-a1-1", port)
     node.start()
+    beats = [asyncio.create_task(backend.send_heartbeats(store)) for backend in backends]
     stop, result, tasks = asyncio.Event(), collections.Counter(), []
     try:
         if not await node.ready():
@@ -109,7 +110,7 @@
         await asyncio.gather(*tasks)
         record.say(f"what callers got: {dict(result)}")
     finally:
-        for task in tasks:
+        for task in [*tasks, *beats]:
             task.cancel()
         node.end()
     return result["no answer in the protocol"] > 0
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib3"))
 from parts import (BROKEN, HELD, NOT_RUN, Node, Store, configuration, is_troubled, message, read_message, route,
-                   run_case, server_entry, service)
+                   run_case, send_heartbeats, server_entry, service)
 
 STABLE_WINDOW_S = 4.0
 MOST_RETRIES = 3  # Of the rule, later than STABLE_WINDOW_S after the third crash.
@@ -34,12 +34,17 @@
         self.name = f"i-{self.number:04x}{self.incarnation:04x}"
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
-        self.store.write("servers", self.name, server_entry(self.port, "shelfwatch", "kenn-b", 6, cold=cold))
+        entry, incarnation = server_entry(self.port, "shelfwatch", "kenn-b", 6, cold=cold), self.incarnation
+        self.store.write("servers", self.name, entry)
+        self.up = True
+        asyncio.create_task(send_heartbeats(
+            self.store, self.name, entry, lambda: self.up and self.incarnation == incarnation, cold))
 
     async def crash(self, attempt):
         self.events["crashes"].append((time.monotonic(), attempt))
         self.events["cut"] |= self.running
         self.events["record"](f"{self.name} begins to run {attempt} and crashes, with {sorted(self.running)}")
+        self.up = False
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib3"))
 from parts import (BROKEN, HELD, NOT_RUN, Node, Store, configuration, is_troubled, message, read_message, route,
-                   run_case, server_entry, service)
+                   run_case, send_heartbeats, server_entry, service)
 
 DRAIN_S, STABLE_WINDOW_S = 4.0, 5.0
 REPLICA_LAG_S = 3.0
@@ -36,7 +36,10 @@
         self.turns = collections.Counter()
 
     def notify(self):
-        self.copies.append((time.monotonic(), self.revision, {k: dict(o) for k, o in self.objects.items()}))
+        now = time.monotonic()
+        self.copies.append((now, self.revision, {k: dict(o) for k, o in self.objects.items()}))
+        while len(self.copies) > 2 and self.copies[1][0] < now - REPLICA_LAG_S - 1:
+            self.copies.pop(0)
         super().notify()
 
     async def handle(self, port, line, fields, body):
@@ -129,11 +132,15 @@
 
     for number in range(OTHER_BACKENDS):
         server = await asyncio.start_server(ignore, "127.0.0.1", 0)
-        store.write("servers", "i-" + hashlib.sha256(b"%d" % number).hexdigest()[:8],
-                    server_entry(server.sockets[0].getsockname()[1], "ledgerbin", "merr-a", 6))
+        name = "i-" + hashlib.sha256(b"%d" % number).hexdigest()[:8]
+        entry = server_entry(server.sockets[0].getsockname()[1], "ledgerbin", "merr-a", 6)
+        store.write("servers", name, entry)
+        asyncio.create_task(send_heartbeats(store, name, entry, lambda: True))
     backends = [Backend(name, record) for name in ("i-10000000", "i-20000000", "i-fffffff0")]
     for backend in backends:
-        store.write("servers", backend.name, server_entry(await backend.listen(), "tillgate", "merr-a", 4))
+        entry = server_entry(await backend.listen(), "tillgate", "merr-a", 4)
+        store.write("servers", backend.name, entry)
+        asyncio.create_task(send_heartbeats(store, backend.name, entry, lambda of=backend: not of.is_leaving))
     leaving = backends[-1]
     node = Node("front-merr-a-1", "merr-a", {"merr-a": "merrimack"}, await store.listen(), folder, BOUNDS)
     nodes.append(node)
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -18,6 +18,7 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+HEARTBEAT_SECONDS = 1.5
 HISTORY_SECONDS = 20.0  # history_s of the settings.
 PAGE_BYTES, PAGE_ITEMS = 1_000_000, 500
 
@@ -228,6 +229,14 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self.port
 
+    async def send_heartbeats(self, store):
+        """Writes the entry every HEARTBEAT_SECONDS, with a higher sequence each time."""
+        sequence = 1
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            sequence += 1
+            store.put("servers", self.identity, self.entry(sequence=sequence))
+
     def entry(self, state="ready", sequence=1):
         return {"address": f"127.0.0.1:{self.port}", "born": BORN,
                 "info": {"service": self.service, "config_version": "v1", "zone": self.zone,
--- a/review/lib3/parts.py
+++ b/review/lib3/parts.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -63,6 +64,9 @@
         self.file.flush()
 
 
+HEARTBEAT_S = 1.5
+
+
 class Store:
     """The platform's metadata store. Each process gets a port of its own, so that the store can reject one of them."""
 
@@ -315,6 +319,21 @@
             "status": {"state": state, "sequence": sequence, "cold_remaining_s": cold}}
 
 
+async def send_heartbeats(store, name, entry, is_running, cold=0.0):
+    """Writes the entry of a backend server every HEARTBEAT_S, with a higher sequence each time, while it runs."""
+    sequence, cold_until = entry["status"]["sequence"], time.monotonic() + cold
+    pause = random.uniform(0, HEARTBEAT_S)  # They don't all write at once.
+    while True:
+        await asyncio.sleep(pause)
+        pause = HEARTBEAT_S
+        if not is_running():
+            return
+        sequence += 1
+        cold_left = round(max(0.0, cold_until - time.monotonic()), 3)
+        store.write("servers", name, {**entry, "status": {
+            **entry["status"], "sequence": sequence, "cold_remaining_s": cold_left}})
+
+
 def is_troubled():
     return os.environ.get("TROUBLE", "1") != "0"
 
@@ -335,7 +354,7 @@
 
     code = NOT_RUN
     try:
-        code = asyncio.run(run())
+        code = asyncio.new_event_loop().run_until_complete(run())
     except BaseException as error:  # Also a cancellation: the case could not run to its end.
         record(f"the case could not run: {error!r}")
         traceback.print_exc()
@@ -345,5 +364,6 @@
         shutil.rmtree(folder, ignore_errors=True)
     meaning = {BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "the case could not run"}[code]
     record(meaning)
-    print(meaning)
-    sys.exit(code)
+    print(meaning, flush=True)
+    sys.stderr.flush()
+    os._exit(code)  # Does not wait for the stand-ins, whose callers are gone.
