--- a/src/libs/forwarding/forwardedrequest.cpp
+++ b/src/libs/forwarding/forwardedrequest.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/forwardedrequest.h"
 
+#include "http/responsecheck.h"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
@@ -57,12 +59,6 @@
 
 } // namespace
 
-bool isChunkedAlone(const beast::http::fields& header)
-{
-    const auto coding = header[http::Field::transfer_encoding];
-    return equalsIgnoringCase(trimmed({ coding.data(), coding.size() }), "chunked");
-}
-
 bool isHopByHopField(std::string_view name, std::string_view connectionOptions)
 {
     for (const std::string_view field : { "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
@@ -104,7 +100,7 @@
     // Without a final chunked coding, the length of the body is not known (RFC 9112 section 6.3). No other coding is
     // supported, and HTTP/1.0 has none (section 6.1).
     const std::size_t codings = header.count(http::Field::transfer_encoding);
-    if (codings > 1 || (codings == 1 && (header.version() != 11 || !isChunkedAlone(header))))
+    if (codings > 1 || (codings == 1 && (header.version() != 11 || !http::isChunkedAlone(header))))
         return makeError(ResultCode::BadRequest, "the transfer coding is not chunked alone");
     if (codings > 0 && header.count(http::Field::content_length) > 0)
         return makeError(ResultCode::BadRequest, "the request has a length and a transfer coding");
--- a/src/libs/forwarding/forwardedrequest.h
+++ b/src/libs/forwarding/forwardedrequest.h
@@ -34,9 +34,6 @@
 /// \a connectionOptions is the value of the Connection field.
 bool isHopByHopField(std::string_view name, std::string_view connectionOptions);
 
-/// Whether the first Transfer-Encoding field names chunked and no other coding.
-bool isChunkedAlone(const beast::http::fields& header);
-
 /// Decodes the header of a request. Error: BadRequest, with a message for the caller.
 Result<ForwardedRequest> decodeRequest(const http::RequestHeader& header, const WireNames& names, TimePoint now);
 
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "http/growingbody.h"
 #include "http/readsome.h"
+#include "http/responsecheck.h"
 #include "http/sockets.h"
 #include "http/spawn.h"
 #include "http/syntaxerror.h"
@@ -33,9 +34,6 @@
 constexpr unsigned maximumUnrelatedResponses = 4;
 constexpr std::size_t maximumUnrelatedBytes = 1024UL * 1024;
 
-/// Interim responses (status 1xx) that are skipped before the connection is closed.
-constexpr unsigned maximumInterimResponses = 8;
-
 constexpr std::uint32_t maximumResponseHeaderBytes = 64U * 1024U;
 
 /// Limit of the bytes that are received but not parsed yet. Chunk extensions and trailers are parsed as a whole, so a
@@ -83,6 +81,15 @@
     return parseUnsigned(rest.substr(0, rest.find_first_not_of("0123456789")));
 }
 
+/// Status of a server that is not the one for which the request was meant.
+constexpr unsigned misdirectedStatus = 421;
+
+/// Whether a response states that its request did not run.
+bool isStatedNotRun(const http::ResponseHeader& header, const WireNames& names)
+{
+    return !header[names.notRun].empty() || header.result_int() == misdirectedStatus;
+}
+
 } // namespace
 
 Duration connectTimeout(const BackendServer& server)
@@ -240,9 +247,14 @@
         const beast::error_code error = co_await this->readHeader(pending);
         if (error)
             co_return this->failure(pending, error);
-        const unsigned status = pending.parser->get().result_int();
-        if (status / 100 == 1) {
-            if (++interimResponses > maximumInterimResponses) {
+        const http::ResponseCheck check = http::checkResponseHeader(pending.parser->get().base());
+        if (check.kind == http::ResponseKind::Invalid) {
+            pending.result.detail = check.fault;
+            pending.isInvalid = true;
+            co_return this->failure(pending, {});
+        }
+        if (check.kind == http::ResponseKind::Interim) {
+            if (++interimResponses > http::maximumInterimResponses) {
                 pending.result.detail = "received too many interim responses";
                 pending.isInvalid = true;
                 pending.isExcessive = true;
@@ -278,6 +290,25 @@
     co_return std::move(pending.result);
 }
 
+std::string_view ServerConnection::platformFault(const PendingResponse& pending, const WireNames& names) const
+{
+    const auto& header = pending.parser->get();
+    const unsigned status = header.result_int();
+    const bool claimsNotRun = isStatedNotRun(header, names);
+    // A rejection without an id proves something only when no other request can be meant.
+    if (header.count(names.requestId) > 1)
+        return "the response has several request ids";
+    if (header[names.requestId].empty() && (!claimsNotRun || this->hasCarriedRequest))
+        return "the response has no request id";
+    if (status / 100 == 2 && header[names.responseSeal].empty())
+        return "the success response is not sealed by the server";
+    if (status / 100 == 2 && claimsNotRun)
+        return "the success response claims that the request did not run";
+    if (header.count(http::Field::content_encoding) > 0)
+        return "the response body has a content encoding that was not requested";
+    return {};
+}
+
 void ServerConnection::processHeader(PendingResponse& pending, const WireNames& names)
 {
     const auto& header = pending.parser->get();
@@ -286,15 +317,23 @@
         return std::string_view { value.data(), value.size() };
     };
     const std::string_view id = field(names.requestId);
-    if (!id.empty() && id != pending.request->id) {
+    const bool namesOneRequest = header.count(names.requestId) == 1 && !id.empty();
+    if (namesOneRequest && id != pending.request->id) {
         pending.isForOtherRequest = true;
         return;
     }
     pending.hasStarted = true;
     ServerResponse& result = pending.result;
+    // Bytes that are no response of the server prove nothing, neither that the request did not run nor what the server
+    // says of itself.
+    result.detail = this->platformFault(pending, names);
+    if (!result.detail.empty()) {
+        pending.isInvalid = true;
+        return;
+    }
     const unsigned status = header.result_int();
-    const bool isNotRun = !field(names.notRun).empty() || status == 421;
-    result.isMisdirected = status == 421;
+    const bool isNotRun = isStatedNotRun(header, names);
+    result.isMisdirected = status == misdirectedStatus;
     result.hasSeal = !field(names.responseSeal).empty();
     result.end = isNotRun ? AttemptEnd::ShedByServer : AttemptEnd::Answered;
     result.load = parseLoad(field(names.serverLoad));
@@ -308,23 +347,8 @@
         const Duration stated = seconds(*keepAlive);
         this->idleLimit = std::max<Duration>(stated - idleMargin, stated / 2);
     }
-    if (id.empty() && (!isNotRun || this->hasCarriedRequest)) {
-        // A rejection without an id proves something only when no other request can be meant.
-        pending.isInvalid = true;
-        result.detail = "the response has no request id";
-    } else if (status / 100 == 2 && (!result.hasSeal || isNotRun)) {
-        pending.isInvalid = true;
-        result.detail = "the success response is not sealed by the server or claims that the request did not run";
-    } else if (header.count(http::Field::transfer_encoding) > 0 && !isChunkedAlone(header)) {
-        pending.isInvalid = true;
-        result.detail = "the response has a transfer coding other than chunked";
-    } else if (header.count(http::Field::content_encoding) > 0) {
-        pending.isInvalid = true;
-        result.detail = "the response body has a content encoding that was not requested";
-    }
-    // A misdirected response is another server's, and one that names no request may be a copy of an earlier one.
-    const bool isFromServer = !result.isMisdirected && !(id.empty() && pending.isInvalid);
-    if (this->onNotice && isFromServer) {
+    // A misdirected response is another server's.
+    if (this->onNotice && !result.isMisdirected) {
         const ServerNotice notice = readServerNotice(header, status, names);
         if (!notice.isEmpty())
             this->onNotice(notice);
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -105,6 +105,9 @@
     Awaitable<void> waitForMemory(PendingResponse& pending);
     /// Updates the account for the response.
     void recordHeldBytes(const PendingResponse& pending);
+    /// What is wrong with the header of a response to the pending request beyond the rules of HTTP: nothing that a
+    /// server of the platform sends. Empty when it is in order.
+    std::string_view platformFault(const PendingResponse& pending, const WireNames& names) const;
     /// Validates the header of a response and fills in the result.
     void processHeader(PendingResponse& pending, const WireNames& names);
     /// Closes the connection and returns the result of the failed exchange.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -310,6 +310,49 @@
         CHECK(fixture.exchange(requestBytes("r1", "/once/1", "POST"), "3005").starts_with("HTTP/1.1 502"));
     }
 
+    SECTION("gets 502 instead of bytes of a faulty server that are no response in HTTP")
+    {
+        // Guards against statuses that no response has, which reached callers with fewer digits than three.
+        const std::string begin = GENERATE(as<std::string> {}, "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+            "HTTP/1.1 999 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/3.7 200 OK", "HTTP/1.1 204 No Content",
+            "HTTP/1.1 200 OK\r\nX-Id: r2");
+        INFO(begin);
+        std::string claim;
+        const auto spoil = [&](const std::string& request) {
+            return ScriptedResponse { begin + "\r\nX-Id: " + idOf(request) + "\r\nX-Seal: s\r\n" + claim
+                + "Content-Length: 5\r\n\r\nwhole" };
+        };
+        fixture.addServer("s2", fixture.second.port());
+        fixture.first.script = spoil;
+        fixture.second.script = spoil;
+
+        SECTION("and the request is sent once if it may not be repeated, whatever the bytes claim")
+        {
+            claim = "X-Not-Run: 1\r\n";
+            const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "\r\n\r\n");
+            CHECK(text.starts_with("HTTP/1.1 502 "));
+            CHECK(fixture.first.requests.size() + fixture.second.requests.size() == 1);
+        }
+        SECTION("and the request is repeated if it may be")
+        {
+            const std::string text = fixture.exchange(requestBytes("r1", "/safe/1"), "\r\n\r\n");
+            CHECK(text.starts_with("HTTP/1.1 502 "));
+            CHECK(fixture.first.requests.size() == 1);
+            CHECK(fixture.second.requests.size() == 1);
+        }
+        SECTION("and nothing that they say of the server is taken from them")
+        {
+            claim = "X-Leaving: 1\r\nX-Limit: 1\r\nX-Load: 1,7,4\r\n";
+            CHECK(fixture.exchange(requestBytes("r1", "/safe/1"), "\r\n\r\n").starts_with("HTTP/1.1 502 "));
+            for (const char* id : { "s1", "s2" }) {
+                const ServerPointer server = fixture.catalog->find(id);
+                CHECK_FALSE(server->isLeaving);
+                CHECK_FALSE(server->rateLimit.perSecond);
+                CHECK(server->report.waiting == 0);
+            }
+        }
+    }
+
     SECTION("gets a response without a length when the server closes the connection, but not when it is reset")
     {
         bool resets = false;
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "http/clientconnection.h"
 
+#include "http/responsecheck.h"
 #include "http/sockets.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -101,19 +102,32 @@
 
 Awaitable<Result<ResponseHeader>> ClientConnection::receiveHeader(TimePoint deadline)
 {
-    this->parser.emplace();
-    this->parser->header_limit(maximumHeaderBytes);
-    this->parser->body_limit(boost::none);
-    if (this->outgoing->method() == Verb::head)
-        this->parser->skip(true);
-    this->stream.expires_at(deadline);
-    const auto [error, bytes]
-        = co_await beast::http::async_read_header(this->stream, this->buffer, *this->parser, useTuple);
-    this->receivedBytes = bytes > 0 || this->buffer.size() > 0;
-    if (error) {
-        const bool lost = error == beast::http::error::end_of_stream || error == asio::error::connection_reset
-            || error == asio::error::operation_aborted || error == asio::error::broken_pipe;
-        co_return this->failed(error, lost ? ResultCode::UnknownConnectionLost : ResultCode::UnknownAnswerInvalid);
+    ResponseCheck check { .kind = ResponseKind::Interim };
+    for (unsigned responses = 0; check.kind == ResponseKind::Interim; ++responses) {
+        if (responses > maximumInterimResponses) {
+            this->close();
+            co_return makeError(ResultCode::UnknownAnswerInvalid, "{}: received too many interim responses",
+                this->serverAddress.text());
+        }
+        this->parser.emplace();
+        this->parser->header_limit(maximumHeaderBytes);
+        this->parser->body_limit(boost::none);
+        if (this->outgoing->method() == Verb::head)
+            this->parser->skip(true);
+        this->stream.expires_at(deadline);
+        const auto [error, bytes]
+            = co_await beast::http::async_read_header(this->stream, this->buffer, *this->parser, useTuple);
+        this->receivedBytes = this->receivedBytes || bytes > 0 || this->buffer.size() > 0;
+        if (error) {
+            const bool lost = error == beast::http::error::end_of_stream || error == asio::error::connection_reset
+                || error == asio::error::operation_aborted || error == asio::error::broken_pipe;
+            co_return this->failed(error, lost ? ResultCode::UnknownConnectionLost : ResultCode::UnknownAnswerInvalid);
+        }
+        check = checkResponseHeader(this->parser->get().base());
+    }
+    if (check.kind == ResponseKind::Invalid) {
+        this->close();
+        co_return makeError(ResultCode::UnknownAnswerInvalid, "{}: {}", this->serverAddress.text(), check.fault);
     }
     if (this->parser->need_eof()) {
         // The end of such a body cannot be told from a broken connection.
--- a/src/libs/http/tst_http.cpp
+++ b/src/libs/http/tst_http.cpp
@@ -1,10 +1,12 @@
 #include "http/clientconnection.h"
 #include "http/growingbody.h"
+#include "http/responsecheck.h"
 #include "http/server.h"
 #include "http/spawn.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -87,6 +89,28 @@
     return answer;
 }
 
+/// The result of a call to a server that responds with \a bytes to its first request.
+Result<Response> callServerOf(const std::string& bytes)
+{
+    asio::io_context serverContext;
+    asio::ip::tcp::acceptor acceptor(serverContext, { asio::ip::make_address("127.0.0.1"), 0 });
+    std::thread serverThread([&] {
+        asio::ip::tcp::socket socket(serverContext);
+        acceptor.accept(socket);
+        std::string request;
+        beast::error_code error;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+        asio::write(socket, asio::buffer(bytes), error);
+    });
+    asio::io_context context;
+    const HostPort address { "127.0.0.1", acceptor.local_endpoint().port() };
+    auto result
+        = asio::co_spawn(context, callOnce(context.get_executor(), address, { Verb::get, "/", 11 }), asio::use_future);
+    context.run();
+    serverThread.join();
+    return result.get();
+}
+
 Awaitable<void> echo(std::shared_ptr<Exchange> exchange)
 {
     const Result<std::string> body = co_await exchange->receiveWholeBody(32 * 1024 * 1024);
@@ -146,6 +170,27 @@
         }
     }
 
+    SECTION("a client skips interim responses and takes no other bytes than a final response")
+    {
+        // Guards against statuses that no response has, which the client took for an answer of the platform's store.
+        const std::string rest = "\r\nContent-Length: 2\r\n\r\nhi";
+        const auto response = callServerOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK" + rest);
+        REQUIRE(isOk(response));
+        CHECK(valueOf(response).result_int() == 200);
+        CHECK(valueOf(response).body() == "hi");
+        for (const char* begin : { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+                 "HTTP/1.1 101 Other", "HTTP/3.7 200 OK" }) {
+            INFO(begin);
+            const auto invalid = callServerOf(begin + rest);
+            REQUIRE_FALSE(isOk(invalid));
+            CHECK(errorOf(invalid).code == ResultCode::UnknownAnswerInvalid);
+        }
+        std::string endless;
+        for (unsigned i = 0; i <= maximumInterimResponses; ++i)
+            endless += "HTTP/1.1 100 Continue\r\n\r\n";
+        CHECK_FALSE(isOk(callServerOf(endless + "HTTP/1.1 200 OK" + rest)));
+    }
+
     SECTION("hostile input gets a numbered error and the server goes on")
     {
         Fixture fixture(echo);
--- a/src/tools/fuzz/sessionplay.cpp
+++ b/src/tools/fuzz/sessionplay.cpp
@@ -149,6 +149,18 @@
         .id = bytes.find("X-Id: ") == std::string::npos ? std::string() : idOf(bytes) };
 }
 
+/// Whether \a text begins with the status line of a final response, RFC 9112 section 4 and RFC 9110 section 15.
+bool beginsWithFinalStatus(std::string_view text)
+{
+    constexpr std::string_view version = "HTTP/1.1 ";
+    constexpr std::size_t digits = 3;
+    if (!text.starts_with(version) || text.size() <= version.size() + digits || text[version.size() + digits] != ' ')
+        return false;
+    const std::string_view status = text.substr(version.size(), digits);
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    return std::all_of(status.begin(), status.end(), isDigit) && status.front() >= '2' && status.front() <= '5';
+}
+
 } // namespace
 
 std::optional<std::string> playRequests(std::string_view bytes, bool isEntryInstance)
@@ -178,6 +190,8 @@
     instance.send(
         "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nX-Left: 3000\r\nContent-Length: 0\r\n\r\n");
     const std::string text = instance.received();
+    if (!text.empty() && !beginsWithFinalStatus(text))
+        return fmt::format("the caller got bytes that are no response: {}", text.substr(0, text.find("\r\n")));
     if (!text.starts_with("HTTP/1.1 2"))
         return std::nullopt;
     const std::string head = text.substr(0, text.find("\r\n\r\n") + 2);
--- a/src/tools/fuzz/sessionplay.h
+++ b/src/tools/fuzz/sessionplay.h
@@ -11,8 +11,8 @@
 /// server got a request that was not sent, by the framing of RFC 9112.
 std::optional<std::string> playRequests(std::string_view bytes, bool isEntryInstance);
 
-/// Plays \a bytes as the response of the backend server to a request. Returns what is wrong: the caller got a success
-/// that the server did not seal, or one of another request.
+/// Plays \a bytes as the response of the backend server to a request. Returns what is wrong: the caller got bytes that
+/// are no response in HTTP, a success that the server did not seal, or one of another request.
 std::optional<std::string> playResponse(std::string_view bytes);
 
 /// Decodes \a bytes as documents of the platform's store and as messages between entry instances.
--- a/src/tools/fuzz/tst_sessionplay.cpp
+++ b/src/tools/fuzz/tst_sessionplay.cpp
@@ -31,10 +31,11 @@
 /// Changes some places of \a bytes, of which the first byte stays.
 std::string mutate(std::string bytes, const std::string& other, Random& random)
 {
+    constexpr std::string_view digits = "0123456789";
     constexpr std::string_view odd = "\r\n\0 :;,0f\x7f\xff";
     for (std::uint64_t change = 0; change <= randomBelow(random, 3); ++change) {
         const std::size_t at = 1 + randomBelow(random, bytes.size());
-        switch (randomBelow(random, 4)) {
+        switch (randomBelow(random, 5)) {
         case 0:
             bytes.insert(std::min(at, bytes.size()), 1, odd[randomBelow(random, odd.size())]);
             break;
@@ -44,6 +45,9 @@
         case 2:
             bytes.insert(std::min(at, bytes.size()), other.substr(randomBelow(random, other.size())));
             break;
+        case 3:
+            bytes[std::min(at, bytes.size() - 1)] = digits[randomBelow(random, digits.size())];
+            break;
         default:
             bytes.resize(std::min(at, bytes.size()));
         }
