--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -14,8 +14,24 @@
 /// Long-poll time of the first watch, which only reads the changes since a list that may be stale.
 constexpr milliseconds catchUpWait { 1 };
 
+/// Timeout of a call that completes a list.
+constexpr milliseconds completionTimeout { 1500 };
+
+/// Calls that complete one list. The store may return the changes in several parts.
+constexpr unsigned maximumCompletionCalls = 8;
+
 } // namespace
 
+void applyChanges(ObjectSet& set, const ChangeSet& changes)
+{
+    for (const ObjectChange& change : changes.changes) {
+        std::erase_if(set.objects, [&change](const StoredObject& object) { return object.name == change.object.name; });
+        if (!change.isRemoved)
+            set.objects.push_back(change.object);
+    }
+    set.revision = std::max(set.revision, changes.revision);
+}
+
 KindWatcher::KindWatcher(asio::any_io_executor watcherExecutor, std::shared_ptr<ObjectSource> objectSource,
     std::string objectKind, WatchOptions watchOptions)
     : executor(std::move(watcherExecutor))
@@ -96,9 +112,20 @@
     const bool isFirst = !this->hasListed;
     Freshness freshness = isFirst ? Freshness::AllowStale : this->options.freshness;
     // A stale list could be from before the restore, and the store would be found restored again.
-    if (this->sinceLastList.isAfterRestore)
+    if (this->sinceLastList.isAfterRestore || this->mustListLatest)
         freshness = Freshness::Latest;
-    const Result<ObjectSet> set = co_await this->source->list(this->kind, freshness);
+    Result<ObjectSet> set = co_await this->source->list(this->kind, freshness);
+    const bool isInParts = isOk(set) && valueOf(set).newestRevision > valueOf(set).revision;
+    if (isInParts) {
+        const Status completed = co_await this->completeList(valueOf(set));
+        this->mustListLatest = !isOk(completed);
+        if (!isOk(completed) && errorOf(completed).code == ResultCode::PlatformHistoryLost) {
+            logInfo("store_history_lost", { { "kind", this->kind }, { "revision", valueOf(set).revision } });
+            co_return false;
+        }
+        if (!isOk(completed))
+            set = errorOf(completed);
+    }
     if (!isOk(set)) {
         this->recordFailure(errorOf(set));
         this->sinceLastList.isAfterOutage = this->sinceLastList.isAfterOutage || this->hasListed;
@@ -112,12 +139,36 @@
     this->needsList = false;
     this->hasListed = true;
     this->sinceLastList = {};
-    this->mustWatchAtOnce = isFirst;
-    if (freshness == Freshness::Latest)
+    const bool isCurrent = freshness == Freshness::Latest || isInParts;
+    this->mustWatchAtOnce = isFirst && !isCurrent;
+    if (isCurrent)
         this->recordCaughtUp();
     co_return true;
 }
 
+Awaitable<Status> KindWatcher::completeList(ObjectSet& set)
+{
+    const std::uint64_t oldest = set.revision;
+    unsigned calls = 0;
+    while (set.revision < set.newestRevision) {
+        if (++calls > maximumCompletionCalls)
+            co_return makeError(ResultCode::PlatformBadAnswer, "the changes end at revision {}, and the list at {}",
+                set.revision, set.newestRevision);
+        const StorePosition from { set.era, set.revision };
+        const Result<ChangeSet> changes = co_await this->source->changesNow(this->kind, from, completionTimeout);
+        if (!isOk(changes))
+            co_return errorOf(changes);
+        if (valueOf(changes).era != set.era)
+            co_return makeError(ResultCode::PlatformUnreachable, "the store was restored after a list");
+        platform::applyChanges(set, valueOf(changes));
+        set.asOf = valueOf(changes).asOf;
+    }
+    logInfo("store_list_completed",
+        { { "kind", this->kind }, { "oldest", oldest }, { "newest", set.newestRevision }, { "revision", set.revision },
+            { "calls", calls } });
+    co_return okStatus();
+}
+
 Awaitable<bool> KindWatcher::watchOnce()
 {
     const TimePoint start = Clock::now();
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -44,9 +44,10 @@
 
 struct ObjectSet {
     std::uint64_t era = 0; ///< See StorePosition.
-    std::uint64_t revision = 0; ///< Store revision at which the set was read.
+    std::uint64_t revision = 0; ///< Store revision up to which the set is complete: that of its oldest part.
     std::vector<StoredObject> objects;
     TimePoint asOf {}; ///< The set was complete at this time; unset when it may be outdated.
+    std::uint64_t newestRevision = 0; ///< Of the parts. Above `revision`, the set mixes states of different ages.
 };
 
 struct ObjectChange {
@@ -62,6 +63,9 @@
     ProofSource source = ProofSource::None; ///< Of `asOf`. With ProofSource::Store, `revision` is that of the store.
 };
 
+/// Applies changes to a set that they continue, in their order.
+void applyChanges(ObjectSet& set, const ChangeSet& changes);
+
 /// Whether a read may return an outdated state. Stale reads are cheaper for the store.
 enum class Freshness : std::uint8_t { Latest, AllowStale };
 
@@ -151,6 +155,9 @@
 
     Awaitable<void> run();
     Awaitable<bool> listOnce();
+    /// Replays the changes since the oldest part of a set whose parts were read at different revisions, until it is one
+    /// state. Error: the set cannot be completed; the objects must be listed again from the store's current state.
+    Awaitable<Status> completeList(ObjectSet& set);
     Awaitable<bool> watchOnce();
     static Awaitable<void> callSource(std::shared_ptr<ObjectSource> source, std::shared_ptr<PendingCall> call,
         std::string kind, StorePosition position, milliseconds wait, Freshness freshness);
@@ -174,6 +181,7 @@
     bool needsList = true;
     bool hasListed = false;
     bool hasCaughtUp = false;
+    bool mustListLatest = false; ///< A stale list could not be completed.
     bool mustWatchAtOnce = false; ///< The list may be stale; changes since its revision are read without a delay.
     ListCircumstances sinceLastList;
     bool isStopped = false;
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -193,6 +193,91 @@
         }
     }
 
+    SECTION("a list whose parts were read at different revisions is no state until the changes between are replayed")
+    {
+        // Guards against a removal between the revisions of two pages: nobody saw it, and the server stayed in use.
+        std::vector<std::string> names;
+        TimePoint asOf;
+        bool isCurrent = false;
+        watcher->onList = [&](const ObjectSet& set, const ListCircumstances&) {
+            names.clear();
+            for (const StoredObject& object : set.objects)
+                names.push_back(fmt::format("{}@{}", object.name, object.revision));
+            asOf = set.asOf;
+        };
+        watcher->onCaughtUp = [&] { isCurrent = true; };
+        const TimePoint answeredAt = Clock::now();
+        const auto change = [](const std::string& name, std::uint64_t revision, bool isRemoved = false) {
+            return ObjectChange { { .name = name, .revision = revision, .content = {} }, isRemoved };
+        };
+        const auto answer = [&](std::uint64_t revision, std::vector<ObjectChange> changes) {
+            return ChangeSet { .era = 0,
+                .revision = revision,
+                .changes = std::move(changes),
+                .asOf = answeredAt,
+                .source = ProofSource::Store };
+        };
+        ObjectSet stale { .era = 0, .revision = 90, .objects = {}, .newestRevision = 100 };
+        for (const auto& [name, revision] : { std::pair { "a", 80U }, { "b", 95U }, { "left", 70U } })
+            stale.objects.push_back({ .name = name, .revision = revision, .content = {} });
+        source->lists = { stale };
+
+        SECTION("by one call")
+        {
+            source->verifications
+                = { answer(102, { change("b", 92), change("left", 93, true), change("b", 95), change("c", 101) }) };
+            runScript();
+            CHECK(names == std::vector<std::string> { "a@80", "b@95", "c@101" });
+            CHECK(source->verifiedRevisions == std::vector<std::uint64_t> { 90 });
+            REQUIRE_FALSE(source->revisions.empty());
+            CHECK(source->revisions[0] == 102);
+            CHECK(isCurrent);
+            CHECK(asOf == answeredAt);
+        }
+        SECTION("an object that is removed, added again and changed in between has its newest state")
+        {
+            source->verifications = { answer(103,
+                { change("a", 91, true), change("a", 94), change("a", 99), change("left", 96, true),
+                    change("left", 98) }) };
+            runScript();
+            CHECK(names == std::vector<std::string> { "b@95", "a@99", "left@98" });
+        }
+        SECTION("by several calls, when the store returns the changes in parts")
+        {
+            source->verifications
+                = { answer(93, { change("left", 93, true) }), answer(100, { change("a", 97, true) }) };
+            runScript();
+            CHECK(names == std::vector<std::string> { "b@95" });
+            CHECK(source->verifiedRevisions == std::vector<std::uint64_t> { 90, 93 });
+        }
+        SECTION("or it is listed again from the current state, when the history between was discarded")
+        {
+            source->verifications = { makeError(ResultCode::PlatformHistoryLost, "410") };
+            source->lists.push_back(emptySetAt(105));
+            runScript();
+            CHECK(names.empty());
+            CHECK(source->listFreshness == std::vector<Freshness> { Freshness::AllowStale, Freshness::Latest });
+            CHECK(source->revisions[0] == 105);
+        }
+        SECTION("or when the store was restored in between")
+        {
+            source->verifications = { ChangeSet { .era = 1, .revision = 95, .changes = {} } };
+            source->lists.push_back(emptySetAt(96, 1));
+            runScript();
+            CHECK(names.empty());
+            CHECK(source->listFreshness.back() == Freshness::Latest);
+        }
+        SECTION("or when the answers never reach the newest part")
+        {
+            for (int i = 0; i < 8; ++i)
+                source->verifications.push_back(answer(95, {}));
+            source->lists.push_back(emptySetAt(105));
+            runScript();
+            CHECK(source->listCalls == 2);
+            CHECK(source->revisions[0] == 105);
+        }
+    }
+
     SECTION("only the first list may be stale: a later stale list could bring back removed servers")
     {
         source->lists = { emptySetAt(7), emptySetAt(20), emptySetAt(30) };
