--- a/src/libs/forwarding/heartbeat.cpp
+++ b/src/libs/forwarding/heartbeat.cpp
@@ -16,6 +16,9 @@
 
 constexpr unsigned heartbeatVersion = 1;
 
+/// Crash marks may take this part of a heartbeat, so that rate limits and loads have room in each one.
+constexpr std::size_t maximumMarkBytes = maximumHeartbeatBytes / 2;
+
 /// Hundredths are precise enough for a value that changes several times per second.
 constexpr double utilizationPrecision = 100;
 
@@ -267,7 +270,8 @@
     if (!heartbeat.clearings.empty())
         addIfFits("cleared", writeClearings(heartbeat.clearings, now));
     if (!heartbeat.crashMarks.empty())
-        addIfFits("crashes", writeMarks(heartbeat.crashMarks, now, maximumHeartbeatBytes - text.size()));
+        addIfFits("crashes",
+            writeMarks(heartbeat.crashMarks, now, std::min(maximumMarkBytes, maximumHeartbeatBytes - text.size())));
     if (!heartbeat.rateLimits.empty())
         addIfFits("limits", writeRateLimits(heartbeat.rateLimits, now, maximumHeartbeatBytes - text.size()));
     if (!heartbeat.regionUtilization.empty()) {
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -528,12 +528,12 @@
     fixture.forwarder->instanceNames = [] { return std::vector<std::string> { "self" }; };
 
     const auto ask = [&](int number) {
-        const std::string text
-            = fixture.exchange(requestBytes("r" + std::to_string(number), "/safe/crash"), "\r\n\r\n");
+        std::string text = fixture.exchange(requestBytes("r" + std::to_string(number), "/safe/crash"), "\r\n\r\n");
         fixture.context.run_for(milliseconds(100));
         return text;
     };
     std::vector<std::string> answers;
+    answers.reserve(4);
     for (int i = 0; i < 4; ++i)
         answers.push_back(ask(i));
     CHECK(crashes <= 3);
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -137,6 +137,7 @@
     if (this->onList)
         this->onList(valueOf(set), this->sinceLastList);
     this->needsList = false;
+    this->mustListLatest = false;
     this->hasListed = true;
     this->sinceLastList = {};
     const bool isCurrent = freshness == Freshness::Latest || isInParts;
--- a/src/libs/requests/tst_quarantine.cpp
+++ b/src/libs/requests/tst_quarantine.cpp
@@ -29,6 +29,7 @@
         const std::string& server, const std::vector<Fingerprint>& inFlight, TimePoint sent, bool isConfirmed = true)
     {
         std::vector<std::uint64_t> numbers;
+        numbers.reserve(inFlight.size());
         for (const Fingerprint& fingerprint : inFlight)
             numbers.push_back(this->tracker.recordSent(server, { fingerprint, "tillgate", sent }));
         std::vector<CrashMark> marks;
