Encode names from outside in the paths and queries of calls

Change: http::percentEncoded() encodes all bytes but the unreserved characters of RFC 3986; every name in a path or a query goes through it.

--- a/src/libs/http/target.cpp
+++ b/src/libs/http/target.cpp
@@ -47,6 +47,25 @@
     return found == this->query.end() ? std::string() : found->second;
 }
 
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    constexpr std::string_view hexDigits = "0123456789ABCDEF";
+    std::string result;
+    result.reserve(text.size());
+    for (const char c : text) {
+        if (unreserved.find(c) != std::string_view::npos) {
+            result += c;
+            continue;
+        }
+        const unsigned byte = static_cast<unsigned char>(c);
+        result += '%';
+        result += hexDigits[byte / hexDigits.size()];
+        result += hexDigits[byte % hexDigits.size()];
+    }
+    return result;
+}
+
 std::optional<Target> parseTarget(std::string_view text)
 {
     if (text.empty() || text.front() != '/')
--- a/src/libs/platform/platformclient.cpp
+++ b/src/libs/platform/platformclient.cpp
@@ -1,5 +1,7 @@
 #include "platform/platformclient.h"
 
+#include "http/target.h"
+
 namespace clementinefall::platform {
 
 using http::Field;
@@ -25,6 +27,11 @@
 
 Request requestFor(Verb verb, const std::string& target) { return Request { verb, target, 11 }; }
 
+std::string targetOf(const std::string& kind, const std::string& name)
+{
+    return fmt::format("/objects/{}/{}", http::percentEncoded(kind), http::percentEncoded(name));
+}
+
 } // namespace
 
 PlatformClient::PlatformClient(asio::any_io_executor clientExecutor, ClientSettings clientSettings)
@@ -46,7 +53,7 @@
 
 Awaitable<Result<VersionedValue>> PlatformClient::read(std::string kind, std::string name)
 {
-    Request request = requestFor(Verb::get, fmt::format("/objects/{}/{}", kind, name));
+    Request request = requestFor(Verb::get, targetOf(kind, name));
     const Result<Response> response = co_await this->call(std::move(request), this->settings.callTimeout);
     if (!isOk(response))
         co_return errorOf(response);
@@ -62,7 +69,7 @@
     if (value.size() > maximumValueBytes)
         co_return makeError(ResultCode::BodyTooLarge, "{}/{}: the value has {} bytes, limit {}", kind, name,
             value.size(), maximumValueBytes);
-    Request request = requestFor(Verb::put, fmt::format("/objects/{}/{}", kind, name));
+    Request request = requestFor(Verb::put, targetOf(kind, name));
     if (expectedVersion == 0)
         request.set(Field::if_none_match, "*");
     else
@@ -76,7 +83,7 @@
 
 Awaitable<Result<ObjectList>> PlatformClient::list(std::string kind)
 {
-    Request request = requestFor(Verb::get, fmt::format("/objects/{}", kind));
+    Request request = requestFor(Verb::get, "/objects/" + http::percentEncoded(kind));
     const Result<Response> response = co_await this->call(std::move(request), this->settings.callTimeout);
     if (!isOk(response))
         co_return errorOf(response);
@@ -85,7 +92,8 @@
 
 Awaitable<Result<ObjectList>> PlatformClient::watch(std::string kind, std::uint64_t revision, milliseconds wait)
 {
-    Request request = requestFor(Verb::get, fmt::format("/watch/{}?after={}&waitMs={}", kind, revision, wait.count()));
+    Request request = requestFor(
+        Verb::get, fmt::format("/watch/{}?after={}&waitMs={}", http::percentEncoded(kind), revision, wait.count()));
     const milliseconds timeout = wait + this->settings.callTimeout;
     const Result<Response> response = co_await this->call(std::move(request), timeout);
     if (!isOk(response))
--- a/src/tools/ctl/commands.cpp
+++ b/src/tools/ctl/commands.cpp
@@ -3,6 +3,7 @@
 #include "bundle/bundlecheck.h"
 #include "bundle/bundlecodec.h"
 #include "bundle/signature.h"
+#include "http/target.h"
 #include "secretfile.h"
 
 #include <boost/json.hpp>
@@ -116,6 +117,8 @@
     }
 
     std::string argument(std::size_t index) const { return this->arguments.at(index); }
+    /// An argument as part of a request target.
+    std::string encodedArgument(std::size_t index) const { return http::percentEncoded(this->argument(index)); }
 
     const Options& options;
     std::vector<std::string> arguments;
@@ -281,13 +284,13 @@
     return this->print(this->sendRequest("POST", path, valueOf(text)));
 }
 
-ExitCode CommandRunner::show() { return this->print(this->sendRequest("GET", "bundles/" + this->argument(1))); }
+ExitCode CommandRunner::show() { return this->print(this->sendRequest("GET", "bundles/" + this->encodedArgument(1))); }
 
 ExitCode CommandRunner::diff()
 {
-    std::string path = fmt::format("bundles/{}/diff", this->argument(1));
+    std::string path = fmt::format("bundles/{}/diff", this->encodedArgument(1));
     if (this->arguments.size() == 3)
-        path += "?from=" + this->argument(2);
+        path += "?from=" + this->encodedArgument(2);
     return this->print(this->sendRequest("GET", path));
 }
 
@@ -318,7 +321,7 @@
     const auto status = this->sendRequest("GET", "status");
     if (!isOk(status))
         return this->printError(errorOf(status));
-    const auto bundleResponse = this->sendRequest("GET", "bundles/" + this->argument(1));
+    const auto bundleResponse = this->sendRequest("GET", "bundles/" + this->encodedArgument(1));
     if (!isOk(bundleResponse))
         return this->printError(errorOf(bundleResponse));
     const json::value* content = valueOf(bundleResponse).if_contains("bundle");
@@ -336,7 +339,7 @@
         = this->options.signer.empty() ? stringField(valueOf(status), "operator") : this->options.signer;
     const json::object body { { "signer", signer }, { "publicKey", valueOf(pair).publicKey },
         { "signature", valueOf(signature) } };
-    return this->sendCommand("POST", fmt::format("bundles/{}/signoffs", this->argument(1)), body);
+    return this->sendCommand("POST", fmt::format("bundles/{}/signoffs", this->encodedArgument(1)), body);
 }
 
 ExitCode CommandRunner::stage()
@@ -344,20 +347,20 @@
     json::array zones;
     for (std::size_t i = 2; i < this->arguments.size(); ++i)
         zones.push_back(json::value(this->argument(i)));
-    return this->sendCommand(
-        "POST", fmt::format("bundles/{}/stage", this->argument(1)), json::object { { "zones", std::move(zones) } });
+    return this->sendCommand("POST", fmt::format("bundles/{}/stage", this->encodedArgument(1)),
+        json::object { { "zones", std::move(zones) } });
 }
 
 ExitCode CommandRunner::withdrawOrAccept()
 {
-    return this->sendCommand("POST", fmt::format("bundles/{}/{}", this->argument(1), this->argument(0)));
+    return this->sendCommand("POST", fmt::format("bundles/{}/{}", this->encodedArgument(1), this->argument(0)));
 }
 
 /// Not repeatable, like drain and undrain: the API assigns the next free version, so a repetition would create another
 /// version.
 ExitCode CommandRunner::rollback()
 {
-    return this->sendCommand("POST", fmt::format("bundles/{}/rollback", this->argument(1)), nullptr, false);
+    return this->sendCommand("POST", fmt::format("bundles/{}/rollback", this->encodedArgument(1)), nullptr, false);
 }
 
 ExitCode CommandRunner::drain()
@@ -369,7 +372,7 @@
 ExitCode CommandRunner::undrain()
 {
     return this->sendCommand(
-        "DELETE", fmt::format("drains/{}/{}", this->argument(1), this->argument(2)), nullptr, false);
+        "DELETE", fmt::format("drains/{}/{}", this->encodedArgument(1), this->encodedArgument(2)), nullptr, false);
 }
 
 ExitCode CommandRunner::status() { return this->print(this->sendRequest("GET", "status")); }
@@ -377,7 +380,7 @@
 ExitCode CommandRunner::audit()
 {
     return this->print(
-        this->sendRequest("GET", this->arguments.size() == 2 ? "audit?page=" + this->argument(1) : "audit"));
+        this->sendRequest("GET", this->arguments.size() == 2 ? "audit?page=" + this->encodedArgument(1) : "audit"));
 }
 
 ExitCode CommandRunner::quarantine()
@@ -386,7 +389,7 @@
         return this->print(this->sendRequest("GET", "quarantine"));
     if (this->arguments.size() != 3 || this->argument(1) != "release")
         return this->usageError("quarantine [release FINGERPRINT]");
-    return this->sendCommand("DELETE", "quarantine/" + this->argument(2));
+    return this->sendCommand("DELETE", "quarantine/" + this->encodedArgument(2));
 }
 
 } // namespace
--- a/src/tools/ctl/tst_commands.cpp
+++ b/src/tools/ctl/tst_commands.cpp
@@ -215,6 +215,23 @@
         CHECK(token.out.find(bundle::tokenDigest(valueOf(readSecretFile(folder.file("t"))))) != std::string::npos);
     }
 
+    SECTION("an argument cannot change the call that it is a part of")
+    {
+        std::vector<std::string> targets;
+        const Transport recorder = [&targets](const ApiRequest& request) {
+            targets.push_back(request.target);
+            return unreachableTransport(request);
+        };
+        runCtl(recorder, { "show", "2/diff" });
+        runCtl(recorder, { "diff", "2", "1&dryRun=true" });
+        runCtl(recorder, { "undrain", "backend-server", "a b#c" });
+        runCtl(recorder, { "accept", "2?dryRun=true" });
+        CHECK(targets
+            == std::vector<std::string> { "/v1/admin/bundles/2%2Fdiff",
+                "/v1/admin/bundles/2/diff?from=1%26dryRun%3Dtrue", "/v1/admin/drains/backend-server/a%20b%23c",
+                "/v1/admin/bundles/2%3FdryRun%3Dtrue/accept" });
+    }
+
     SECTION("check and codes need no connection; exit codes distinguish rejection, usage errors and an unreachable API")
     {
         std::ofstream(folder.file("bad.json")) << "{\n\"version\": 0}";
--- a/src/tools/platform/tst_platformsim.cpp
+++ b/src/tools/platform/tst_platformsim.cpp
@@ -97,6 +97,18 @@
         CHECK(valueOf(unchanged) == valueOf(behind));
     }
 
+    SECTION("names that mean something else in a path are written and read as they are")
+    {
+        for (const std::string name : { "a/b", "a b", "a?b=c", "a#b", "a%41", "a+b" }) {
+            INFO(name);
+            CHECK(isOk(fixture.run(fixture.client->write("k", name, "odd", 0))));
+            const auto read = fixture.run(fixture.client->read("k", name));
+            REQUIRE(isOk(read));
+            CHECK(valueOf(read).value == "odd");
+        }
+        CHECK(valueOf(fixture.run(fixture.client->read("k", "a"))).value == "one");
+    }
+
     SECTION("the client gets an error if the response is lost after the write took effect")
     {
         fixture.setFaults(R"({"loseAnswers":1})");
