--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -107,13 +107,18 @@
     this->detach(server);
 }
 
+void ServerCatalog::applyAll(const std::vector<ServerEntry>& entries, TimePoint now)
+{
+    for (const ServerEntry& entry : entries)
+        this->apply(entry, now);
+}
+
 void ServerCatalog::replaceAll(const std::vector<ServerEntry>& entries, bool afterOutage, TimePoint now)
 {
+    this->applyAll(entries, now);
     std::set<std::string> present;
-    for (const ServerEntry& entry : entries) {
+    for (const ServerEntry& entry : entries)
         present.insert(entry.id);
-        this->apply(entry, now);
-    }
     std::vector<std::string> missing;
     for (const auto& [id, server] : this->servers) {
         if (!present.contains(id))
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -46,6 +46,9 @@
     /// Removes a server whose entry was removed: it has ended, or stops without having reported that it drains.
     void remove(const std::string& id, TimePoint now);
 
+    /// Applies entries beside which others may exist.
+    void applyAll(const std::vector<ServerEntry>& entries, TimePoint now);
+
     /// Replaces the whole set. With \a afterOutage, missing entries have `outageGracePeriod` to reappear before
     /// expireMissing() removes them.
     void replaceAll(const std::vector<ServerEntry>& entries, bool afterOutage, TimePoint now);
--- a/src/libs/forwarding/tst_servercatalog.cpp
+++ b/src/libs/forwarding/tst_servercatalog.cpp
@@ -39,6 +39,16 @@
         CHECK_FALSE(isUsable(*server));
     }
 
+    SECTION("a part of the entries takes away no server that it does not hold")
+    {
+        catalog.applyAll({ entryOf("s2", 10, 1), entryOf("s1", 10, 6) }, start);
+        CHECK(catalog.find("s2"));
+        CHECK(catalog.find("s1")->entry.sequence == 6);
+        catalog.applyAll({ entryOf("s3", 10, 1) }, start);
+        CHECK(catalog.size() == 3);
+        CHECK(catalog.expireMissing(start + seconds(60)).empty());
+    }
+
     SECTION("a draining incarnation stays unused although a later report has it as ready")
     {
         ServerEntry draining = entryOf("s1", 10, 6);
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -134,6 +134,10 @@
     this->recordSuccess();
     this->detectRestore(valueOf(set).era);
     this->position = { valueOf(set).era, valueOf(set).revision };
+    this->sinceLastList.isPartial = valueOf(set).isPartial;
+    // Without a usable end of the list, what is known is better than nothing, and changes add to it meanwhile.
+    this->relistAt
+        = valueOf(set).isPartial ? std::optional(Clock::now() + this->options.partialListInterval) : std::nullopt;
     if (this->onList)
         this->onList(valueOf(set), this->sinceLastList);
     this->needsList = false;
@@ -280,6 +284,7 @@
 {
     const auto self = this->shared_from_this();
     while (!this->isStopped) {
+        this->needsList = this->needsList || (this->relistAt && Clock::now() >= *this->relistAt);
         const bool succeeded = this->needsList ? co_await this->listOnce() : co_await this->watchOnce();
         Duration delay = this->options.minimumInterval;
         if (this->isStopped)
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -48,6 +48,7 @@
     std::vector<StoredObject> objects;
     TimePoint asOf {}; ///< The set was complete at this time; unset when it may be outdated.
     std::uint64_t newestRevision = 0; ///< Of the parts. Above `revision`, the set mixes states of different ages.
+    bool isPartial = false; ///< The list got no further: objects that are not in the set may exist.
 };
 
 struct ObjectChange {
@@ -74,7 +75,7 @@
 public:
     virtual ~ObjectSource() = default;
 
-    /// All objects of a kind. Errors: those of Transport::call().
+    /// All objects of a kind, or as many as can be had, see ObjectSet::isPartial. Errors: those of Transport::call().
     virtual Awaitable<Result<ObjectSet>> list(std::string kind, Freshness freshness) = 0;
 
     /// Changes after \a position. Waits up to \a wait for the first one and returns an empty set when there is none.
@@ -94,6 +95,7 @@
     /// The store was restored from a copy. What was acknowledged last may be missing until it is written again, and
     /// what was removed last may be back. Counts as an outage, too.
     bool isAfterRestore = false;
+    bool isPartial = false; ///< See ObjectSet::isPartial.
 };
 
 struct WatchOptions {
@@ -103,6 +105,7 @@
     milliseconds minimumInterval { 400 }; ///< Between two calls, so that many changes share few calls.
     Freshness freshness = Freshness::Latest; ///< Of watch calls, and of all lists but the first.
     milliseconds maximumBackoff { 600 }; ///< Between two attempts while the store is unreachable.
+    milliseconds partialListInterval { 5000 }; ///< From a partial list to the next attempt.
 };
 
 /// Follows the objects of one kind: lists them, watches for changes, and lists them again after the store was
@@ -182,6 +185,7 @@
     bool hasListed = false;
     bool hasCaughtUp = false;
     bool mustListLatest = false; ///< A stale list could not be completed.
+    std::optional<TimePoint> relistAt; ///< Set while the last list is partial.
     bool mustWatchAtOnce = false; ///< The list may be stale; changes since its revision are read without a delay.
     ListCircumstances sinceLastList;
     bool isStopped = false;
--- a/src/libs/platform/tst_kindwatcher.cpp
+++ b/src/libs/platform/tst_kindwatcher.cpp
@@ -156,6 +156,43 @@
         CHECK(removedNames == std::vector<std::string> { "b" });
     }
 
+    SECTION("a partial list is used and followed, and the list is tried again later, until it is whole")
+    {
+        // Guards against an instance that serves nothing as long as one page of the list has no usable end.
+        WatchOptions brief = options;
+        brief.partialListInterval = milliseconds(60);
+        std::vector<bool> partialLists;
+        bool isCurrent = false;
+        const auto briefWatcher = std::make_shared<KindWatcher>(context.get_executor(), source, "servers", brief);
+        briefWatcher->onList = [&](const ObjectSet&, const ListCircumstances& circumstances) {
+            partialLists.push_back(circumstances.isPartial);
+        };
+        briefWatcher->onChanges = [&](const ChangeSet& changes) {
+            for (const ObjectChange& change : changes.changes)
+                removedNames.push_back(change.object.name);
+        };
+        briefWatcher->onCaughtUp = [&] { isCurrent = true; };
+        ObjectSet partial = emptySetAt(7);
+        partial.isPartial = true;
+        source->lists = { partial, partial, emptySetAt(9) };
+        source->watches = { removalOf("a", 8) };
+        for (int i = 0; i < 2000; ++i)
+            source->watches.emplace_back(ChangeSet { .era = 0, .revision = 8, .changes = {} });
+        const TimePoint start = Clock::now();
+        briefWatcher->start();
+        while (partialLists.size() < 3 && Clock::now() < start + seconds(5))
+            context.run_one_for(milliseconds(20));
+        CHECK(Clock::now() - start >= 2 * brief.partialListInterval);
+        CHECK(partialLists == std::vector<bool> { true, true, false });
+        CHECK(removedNames == std::vector<std::string> { "a" });
+        CHECK(isCurrent);
+        context.run_for(4 * brief.partialListInterval);
+        CHECK(source->listCalls == 3);
+        briefWatcher->stop();
+        source->neverExpires.cancel();
+        context.run_for(milliseconds(20));
+    }
+
     SECTION("changes since a stale first list are read without waiting for the minimum interval")
     {
         WatchOptions slow = options;
