--- a/src/libs/forwarding/backendserver.cpp
+++ b/src/libs/forwarding/backendserver.cpp
@@ -7,6 +7,12 @@
 
 namespace clementinefall::forwarding {
 
+bool isValidServerId(std::string_view id)
+{
+    constexpr std::string_view allowed = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~:@";
+    return !id.empty() && id.size() <= maximumServerIdBytes && id.find_first_not_of(allowed) == std::string_view::npos;
+}
+
 namespace {
 
 /// Age after which a load report no longer indicates what the other instances have in flight. A full server responds to
--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace clementinefall::forwarding {
@@ -28,6 +29,14 @@
     std::uint64_t revision = 0; ///< Store revision of the entry's last change.
 };
 
+/// Longest id of a backend server, in bytes. Heartbeats hold the ids of many servers in one datagram.
+inline constexpr std::size_t maximumServerIdBytes = 256;
+
+/// Whether \a id can name a backend server: it goes into header fields, heartbeats and paths as it is, where a blank, a
+/// control byte or a delimiter would end it or begin something else. Allowed are the unreserved characters of RFC 3986
+/// section 2.3, `:` and `@`.
+bool isValidServerId(std::string_view id);
+
 /// Distance of a backend server from this entry instance.
 enum class Locality : std::uint8_t { SameZone, SameRegion, OtherRegion };
 
