Take no answer for whole that ends with a connection on which the request could not be written

Cause: the system reports a reset once, to whichever call on the socket comes first. The write of the upload took it, and writeBody() dropped its error on purpose; the read that followed saw the orderly end that ends a body without a length. Change: before such an answer counts as whole, the write of the request is ended and its error asked for. With one, the answer is cut off (RFC 9112 section 8): 502, or the caller's connection is closed when a part was passed on. A write that had met no error leaves the answer whole, also when the server did not read on; answers with a length or in chunks are not affected. Where FIN and reset arrive together before either was looked at, it cannot be told, and the answer counts as cut. Other readers: ClientConnection refuses a response without a length, and writes before it reads.

--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -129,6 +129,7 @@
     , limits(streamingLimits)
     , buffer(maximumUnparsedBytes)
     , idleLimit(defaultIdleLimit)
+    , bodyWriteEnd(executor, TimePoint::max())
 {
 }
 
@@ -191,8 +192,31 @@
 {
     const auto self = this->shared_from_this();
     const auto [error, bytes] = co_await asio::async_write(this->socket, asio::buffer(request->body), useTuple);
-    // A failed write is not an error here: the response may still arrive, and otherwise the read fails too.
+    // A response may still arrive, so the exchange goes on after an error.
+    this->recordBodyWritten(error);
+}
+
+void ServerConnection::recordBodyWritten(beast::error_code error)
+{
     this->isRequestWritten = !error;
+    this->bodyWriteError = error;
+    this->isWritingBody = false;
+    this->bodyWriteEnd.cancel();
+}
+
+Awaitable<beast::error_code> ServerConnection::endBodyWrite()
+{
+    const auto self = this->shared_from_this();
+    if (!this->isWritingBody)
+        co_return this->bodyWriteError;
+    beast::error_code ignored; // The connection is given up.
+    this->socket.close(ignored);
+    while (this->isWritingBody)
+        co_await this->bodyWriteEnd.async_wait(useTuple);
+    // A write that has met an error before it was ended here keeps that error.
+    const bool isEndedHere
+        = this->bodyWriteError == asio::error::operation_aborted || this->bodyWriteError == asio::error::bad_descriptor;
+    co_return isEndedHere ? beast::error_code() : this->bodyWriteError;
 }
 
 Awaitable<ServerResponse> ServerConnection::exchange(std::shared_ptr<const ForwardedRequest> request, std::string head,
@@ -222,6 +246,7 @@
     const std::shared_ptr<const ForwardedRequest> request = pending.request;
     this->reusable = false;
     this->isRequestWritten = false;
+    this->bodyWriteError = {};
     this->armWatchdog(deadline);
     this->requestSentAt = Clock::now();
 
@@ -235,8 +260,12 @@
         co_return this->failure(pending, writeError);
     }
     this->isRequestWritten = writesBodyWithHeader;
-    if (!writesBodyWithHeader)
-        http::spawn(this->socket.get_executor(), "write_body", [self, request] { return self->writeBody(request); });
+    if (!writesBodyWithHeader) {
+        this->isWritingBody = true;
+        http::spawn(
+            this->socket.get_executor(), "write_body", [self, request] { return self->writeBody(request); },
+            [self] { self->recordBodyWritten(asio::error::no_memory); });
+    }
 
     unsigned interimResponses = 0;
     for (unsigned unrelatedResponses = 0; unrelatedResponses <= maximumUnrelatedResponses;) {
@@ -277,6 +306,16 @@
         pending.result.detail = "received only responses to other requests";
         co_return this->failure(pending, {});
     }
+    if (pending.parser->need_eof()) {
+        // The system reports a reset once, to the write or to the read. After a failed write, the end of the connection
+        // says nothing about whether the response is complete (RFC 9112 section 8).
+        const beast::error_code bodyError = co_await this->endBodyWrite();
+        if (bodyError) {
+            pending.result.detail
+                = fmt::format("a response without a length, on a connection that failed: {}", bodyError.message());
+            co_return this->failure(pending, bodyError);
+        }
+    }
     this->watchdog.cancel();
     this->buffer.shrink_to_fit();
     this->lastUsedAt = Clock::now();
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -99,6 +99,10 @@
     void armWatchdog(TimePoint deadline);
     void armStreamingWatchdog(const PendingResponse& pending);
     Awaitable<void> writeBody(std::shared_ptr<const ForwardedRequest> request);
+    void recordBodyWritten(beast::error_code error);
+    /// Ends the write of the request's body, and the use of the connection with it. Returns the error that the write
+    /// has met.
+    Awaitable<beast::error_code> endBodyWrite();
     Awaitable<beast::error_code> readHeader(PendingResponse& pending);
     /// Reads the body. Returns false when it is incomplete or the sink failed.
     Awaitable<bool> readBody(PendingResponse& pending, ResponseSink& sink);
@@ -130,6 +134,9 @@
     bool isRefused = false;
     TimePoint requestSentAt {}; ///< Start of the current request.
     bool isRequestWritten = false; ///< The current request was written completely.
+    bool isWritingBody = false; ///< Of the current request, beside the read of its response.
+    beast::error_code bodyWriteError; ///< Of the current request.
+    asio::steady_timer bodyWriteEnd; ///< Cancelled when the write of a body ends.
 };
 
 } // namespace clementinefall::forwarding
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -126,7 +126,7 @@
     {
         auto socket = std::make_shared<tcp::socket>(this->context);
         socket->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
-        asio::write(*socket, asio::buffer(bytes));
+        asio::async_write(*socket, asio::buffer(bytes), [socket](beast::error_code, std::size_t) {});
         std::string text;
         std::array<char, 65536> part {};
         bool isDone = false;
@@ -238,6 +238,33 @@
         CHECK(fixture.ask("cut", "/file/2").size() < body.size() + whole.find("\r\n\r\n") + 4);
     }
 
+    SECTION("get no part of an answer without a length when its server resets the connection within their upload")
+    {
+        // Guards against a reset that the write of the upload takes note of, and the read of the answer does not.
+        fixture.server.script = [](const std::string& request) {
+            return ScriptedResponse {
+                .bytes = "HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: " + idOf(request) + "\r\n\r\npart", .resets = true
+            };
+        };
+        const std::string body(6'000'000, 'u');
+        const std::string upload
+            = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nX-Left: 3000\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        SECTION("at their own instance")
+        {
+            const std::string response = fixture.exchange(fixture.reaching.callers->port(), upload);
+            CHECK(contains(response, "HTTP/1.1 502"));
+            CHECK_FALSE(contains(response, "X-Seal"));
+        }
+        SECTION("through another instance")
+        {
+            const std::string response = fixture.exchange(fixture.stranded.callers->port(), upload);
+            CHECK(contains(response, "HTTP/1.1 502"));
+            CHECK_FALSE(contains(response, "X-Seal"));
+        }
+        CHECK(fixture.server.requests.size() == 1);
+    }
+
     SECTION("that do not read what a server sends without end hold a bounded amount of memory at both instances")
     {
         constexpr std::uint64_t limit = 1'000'000;
