Let a server's field not stand for what an instance tells another

Cause: an instance that passes a response back adds the fields Clementine-Leaving and Clementine-Tried only when it has something to tell. A server's field of the same name was then taken for its word: any server could have another one taken for leaving, which then got no more requests from that instance. Change: the fields are always there, before all others, without a value when there is nothing to tell. Evidence: on the code before, 'are not led astray by a server' failed for buffered and streamed responses, and the new test of the head in 2 of 4 assertions. All pass now.

--- a/src/libs/forwarding/peerforwarding.cpp
+++ b/src/libs/forwarding/peerforwarding.cpp
@@ -130,11 +130,10 @@
 {
     std::string head = encodeResponseHead(response, bodyBytes);
     prependField(head, http::HeaderName::outcome, outcomeName(outcomeOf(response.code)));
-    if (response.serversTried)
-        prependField(head, serversTriedField, std::to_string(*response.serversTried));
-    if (response.leavingServer)
-        prependField(head, leavingServerField,
-            fmt::format("{} {}", response.leavingServer->id, response.leavingServer->startTimeMs));
+    // Without a value when there is nothing to tell: a server's field of that name would be taken for it.
+    prependField(head, serversTriedField, response.serversTried ? std::to_string(*response.serversTried) : "");
+    const auto& leaving = response.leavingServer;
+    prependField(head, leavingServerField, leaving ? fmt::format("{} {}", leaving->id, leaving->startTimeMs) : "");
     return head;
 }
 
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -238,6 +238,20 @@
         CHECK(fixture.ask("cut", "/file/2").size() < body.size() + whole.find("\r\n\r\n") + 4);
     }
 
+    SECTION("are not led astray by a server that sends the fields in which instances tell each other things")
+    {
+        std::size_t bodyBytes = 5;
+        SECTION("in a response") { }
+        SECTION("in a streamed response") { bodyBytes = 400000; }
+        fixture.server.script = [bodyBytes](const std::string& request) {
+            return ScriptedResponse { responseBytes(
+                idOf(request), std::string(bodyBytes, 'b'), "X-Seal: s\r\nClementine-Leaving: s1 0\r\n") };
+        };
+        REQUIRE(contains(fixture.ask("r1", "/file/1"), "HTTP/1.1 200"));
+        REQUIRE(fixture.stranded.catalog->find("s1"));
+        CHECK_FALSE(fixture.stranded.catalog->find("s1")->isLeaving);
+    }
+
     SECTION("get no part of an answer without a length when its server resets the connection within their upload")
     {
         // Guards against a reset that the write of the upload takes note of, and the read of the answer does not.
@@ -585,6 +599,24 @@
     }
 }
 
+TEST_CASE("What one instance tells another in the head of a response")
+{
+    SECTION("comes before what a server sends under the same names, also when it has nothing to tell")
+    {
+        CallerResponse response;
+        response.status = 200;
+        response.fields = { { "Clementine-Tried", "0" }, { "Clementine-Leaving", "s1 0" } };
+        const std::string head = encodePeerResponseHead(response, 0);
+        CHECK(head.find("Clementine-Tried: \r\n") < head.find("Clementine-Tried: 0\r\n"));
+        CHECK(head.find("Clementine-Leaving: \r\n") < head.find("Clementine-Leaving: s1 0\r\n"));
+        response.serversTried = 2;
+        response.leavingServer = { "s2", 7 };
+        const std::string telling = encodePeerResponseHead(response, 0);
+        CHECK(telling.find("Clementine-Tried: 2\r\n") < telling.find("Clementine-Tried: 0\r\n"));
+        CHECK(telling.find("Clementine-Leaving: s2 7\r\n") < telling.find("Clementine-Leaving: s1 0\r\n"));
+    }
+}
+
 TEST_CASE("How many requests of other instances are taken at once")
 {
     SECTION("all while there is much room, whatever their route")
