Take no response that names its own seal or id as fields of the connection

Change: such a response is invalid. Evidence: on the code before, 4 of 4 such heads ended as answered; all pass now, and a Connection field that names others changes nothing.

--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -344,6 +344,11 @@
         return "the success response is not sealed by the server";
     if (status / 100 == 2 && claimsNotRun)
         return "the success response claims that the request did not run";
+    // Fields of the connection are not passed on, so the caller would get the response without them.
+    const auto options = header[http::Field::connection];
+    const std::string_view connectionOptions { options.data(), options.size() };
+    if (isHopByHopField(names.requestId, connectionOptions) || isHopByHopField(names.responseSeal, connectionOptions))
+        return "the response takes its id or its seal for a field of the connection";
     if (header.count(http::Field::content_encoding) > 0)
         return "the response body has a content encoding that was not requested";
     return {};
--- a/src/libs/forwarding/tst_serverconnection.cpp
+++ b/src/libs/forwarding/tst_serverconnection.cpp
@@ -347,7 +347,7 @@
     }
 }
 
-TEST_CASE("A head with a field whose name is none")
+TEST_CASE("A head with a field that none can have")
 {
     // Guards against bytes of a server in trouble that reach the caller as a field, or that hide one that says where
     // the body ends.
@@ -408,6 +408,15 @@
         }
     }
 
+    SECTION("or that takes its id or its seal for fields of the connection is no response")
+    {
+        for (const std::string option : { "X-Seal", "x-seal", "X-Id", "keep-alive, X-Seal" }) {
+            INFO(option);
+            CHECK(endOf("Connection: " + option + "\r\n") == AttemptEnd::ResponseInvalid);
+        }
+        CHECK(endOf("Connection: X-Other\r\n") == AttemptEnd::Answered);
+    }
+
     SECTION("or with a value that holds a control byte is no response")
     {
         for (unsigned byte = 0; byte <= 127; ++byte) {
