--- a/src/tools/fuzz/sessionplay.cpp
+++ b/src/tools/fuzz/sessionplay.cpp
@@ -194,6 +194,9 @@
         return fmt::format("the caller got bytes that are no response: {}", text.substr(0, text.find("\r\n")));
     if (!text.starts_with("HTTP/1.1 2"))
         return std::nullopt;
+    const std::string_view answer = bytes.substr(0, bytes.find("\r\n\r\n"));
+    if (answer.find("\r\n ") != std::string_view::npos || answer.find("\r\n\t") != std::string_view::npos)
+        return "the caller got a success from a head with a folded field, RFC 9112 section 5.2";
     const std::string head = text.substr(0, text.find("\r\n\r\n") + 2);
     const auto hasField = [&head](std::string name) {
         std::string lowered = head;
