--- a/src/libs/http/target.h
+++ b/src/libs/http/target.h
@@ -22,8 +22,8 @@
 /// sequence or a control character.
 std::optional<Target> parseTarget(std::string_view text);
 
-/// Text as one segment of a path or one value of a query: all bytes but the unreserved characters of RFC 3986 section 2.3
-/// are percent-encoded. A name from outside that is not encoded can end or change the target that it stands in.
+/// Text as one segment of a path or one value of a query: all bytes but the unreserved characters of RFC 3986
+/// section 2.3 are percent-encoded. Names from outside go into a target only so, as they could end or change it.
 std::string percentEncoded(std::string_view text);
 
 } // namespace clementinefall::http
