--- a/src/libs/forwarding/tst_serverconnection.cpp
+++ b/src/libs/forwarding/tst_serverconnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <array>
 #include <cstdint>
@@ -437,8 +438,9 @@
         const std::string fields = "\r\nX-Id: r1\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\n";
         for (const std::string status :
             { "000 OK", "000 ", "000", "0 OK", "00 OK", "0", "099 OK", "600 OK", "999 OK" }) {
-            for (const std::string& answer : { "HTTP/1.1 " + status + fields + "body",
-                     "HTTP/1.1 " + status + "\r\n\r\nHTTP/1.1 200 OK" + fields + "body" }) {
+            const std::string rest = fields + "body";
+            for (const std::string& answer : { fmt::format("HTTP/1.1 {}{}", status, rest),
+                     fmt::format("HTTP/1.1 {}\r\n\r\nHTTP/1.1 200 OK{}", status, rest) }) {
                 INFO(answer);
                 Upload upload({ .head = answer, .end = AnswerEnd::Finish }, 0);
                 CHECK(upload.run().end == AttemptEnd::ResponseInvalid);
--- a/src/libs/http/tst_http.cpp
+++ b/src/libs/http/tst_http.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <new>
@@ -181,7 +182,7 @@
                  "X\xff: 1\r\n", "X(Y): 1\r\n", "X-Name\r\n", " X-Name: 1\r\n", "\tX-Name: 1\r\n",
                  "X-Name: 1\r\n 2\r\n", " Content-Length: 1\r\n", "Content-Length : 1\r\n", "X-Name: a\x01\r\n" }) {
             INFO(fields);
-            const auto response = callServerOf(start + fields + rest);
+            const auto response = callServerOf(fmt::format("{}{}{}", start, fields, rest));
             REQUIRE_FALSE(isOk(response));
             CHECK(errorOf(response).code == ResultCode::UnknownAnswerInvalid);
         }
