Look for folded fields only in the bytes of a head that are new

Cause: let readSome() look through the whole head again after each read. Change: only the bytes of the last read and the three before them are looked at, and an incomplete head is not parsed again before more of it has arrived. Result: tst_http, tst_forwarding and tst_fuzz pass; a fold is found wherever the head is split.

--- a/src/libs/http/readsome.h
+++ b/src/libs/http/readsome.h
@@ -14,10 +14,13 @@
 
 namespace clementinefall::http {
 
-/// Whether a header field goes on in a further line, RFC 9112 section 5.2. \a bytes begin with the header.
-inline bool hasFoldedField(std::string_view bytes)
+/// Whether a header field goes on in a further line, RFC 9112 section 5.2. \a bytes begin with the header, and those
+/// before \a checked were checked before.
+inline bool hasFoldedField(std::string_view bytes, std::size_t checked)
 {
-    const std::string_view header = bytes.substr(0, bytes.find("\r\n\r\n"));
+    constexpr std::string_view headerEnd = "\r\n\r\n";
+    const std::string_view unchecked = bytes.substr(checked - std::min(checked, headerEnd.size() - 1));
+    const std::string_view header = unchecked.substr(0, unchecked.find(headerEnd));
     return header.find("\r\n ") != std::string_view::npos || header.find("\r\n\t") != std::string_view::npos;
 }
 
@@ -32,22 +35,25 @@
 {
     // A body is parsed as far as it has arrived; it may come in chunks of one byte. A header is left by itself.
     parser.eager(parser.is_header_done());
-    const auto parse = [&buffer, &parser] {
+    const auto parse = [&buffer, &parser](std::size_t checked) {
         const std::string_view bytes { static_cast<const char*>(buffer.data().data()), buffer.size() };
-        if (!parser.is_header_done() && hasFoldedField(bytes))
+        if (!parser.is_header_done() && hasFoldedField(bytes, checked))
             return make_error_code(beast::http::error::bad_field);
         beast::error_code error;
         buffer.consume(parser.put(buffer.data(), error));
         return error;
     };
-    if (buffer.size() > 0) {
-        const beast::error_code error = parse();
+    // A header that was incomplete after the last read still is.
+    const bool isIncompleteHeader = parser.got_some() && !parser.is_header_done();
+    if (buffer.size() > 0 && !isIncompleteHeader) {
+        const beast::error_code error = parse(0);
         if (error != beast::http::error::need_more)
             co_return error;
     }
     const std::size_t room = buffer.max_size() - buffer.size();
     if (room == 0)
         co_return beast::http::error::buffer_overflow;
+    const std::size_t checked = buffer.size();
     const auto [readError, bytes] = co_await stream.async_read_some(
         buffer.prepare(std::min(room, maximumBytes)), asio::bind_cancellation_slot(cancellation, useTuple));
     buffer.commit(bytes);
@@ -59,7 +65,7 @@
     }
     if (readError)
         co_return readError;
-    const beast::error_code error = parse();
+    const beast::error_code error = parse(checked);
     co_return error == beast::http::error::need_more ? beast::error_code() : error;
 }
 
--- a/src/libs/http/tst_http.cpp
+++ b/src/libs/http/tst_http.cpp
@@ -1,5 +1,6 @@
 #include "http/clientconnection.h"
 #include "http/growingbody.h"
+#include "http/readsome.h"
 #include "http/responsecheck.h"
 #include "http/server.h"
 #include "http/spawn.h"
@@ -295,6 +296,21 @@
     }
 }
 
+TEST_CASE("A folded field is found in whatever parts its head arrives")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nX-First: 1\r\n";
+    for (const std::string& head : { start + " X-Name: 1\r\n\r\n", start + "\tX-Name: 1\r\n\r\n" }) {
+        for (std::size_t checked = 0; checked < head.size(); ++checked) {
+            INFO(checked);
+            CHECK((hasFoldedField(head.substr(0, checked), 0) || hasFoldedField(head, checked)));
+        }
+    }
+    // A body may begin with a blank, and hold any lines.
+    const std::string withBody = start + "\r\n body\r\n line";
+    for (std::size_t checked = 0; checked < start.size() + 2; ++checked)
+        CHECK_FALSE(hasFoldedField(withBody, checked));
+}
+
 TEST_CASE("An exception that leaves a coroutine or a handler ends neither the process nor other work")
 {
     asio::io_context context;
