--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -313,7 +313,7 @@
 class Node:
     """One process of the system, started with the command of the deploy file."""
 
-    def __init__(self, name, zone, region, zones, store, folder, record):
+    def __init__(self, name, zone, region, zones, store, folder, record, bounds):
         self.name, self.record = name, record
         ports = free_ports(8)
         self.front, self.ready, self.directory = ports[0], ports[1], ports[2]
@@ -325,8 +325,9 @@
                 f"metrics = 127.0.0.1:{internal[-1]}\nfirst_internal_port = {internal[0]}\n"
                 f"last_internal_port = {internal[-1]}\n\n[platform]\naddress = 127.0.0.1:{store.port}\n"
                 "reads_per_second = 2000\n\n[limits]\nmemory_mb = 260\ndescriptors = 4100\n\n[retries]\nratio = 0.2\n"
-                "allowance = 64\n\n[lookup]\nshortest_lifetime_s = 1\nlongest_lifetime_s = 5\n\n[stop]\ngrace_s = 6\n\n"
-                "[bounds]\ndrain_s = 2.5\nconfiguration_s = 2.5\n")
+                "allowance = 64\n\n[lookup]\nshortest_lifetime_s = 1\nlongest_lifetime_s = 5\n\n[stop]\n"
+                f"grace_s = {bounds['grace_s']}\n\n[bounds]\ndrain_s = {bounds['drain_s']}\n"
+                f"configuration_s = {bounds['config_apply_s']}\n")
         self.settings = pathlib.Path(folder) / f"{name}.settings"
         self.settings.write_text(text)
         self.log_path = pathlib.Path(folder) / f"{name}.log"
@@ -365,6 +366,7 @@
     """A store, backends and nodes, all of which end with the `async with` block."""
 
     ZONES = {"merr-a": "merrimack", "merr-b": "merrimack"}
+    BOUNDS = {"grace_s": 6, "drain_s": 2.5, "config_apply_s": 2.5, "stable_window_s": 4}  # Of the site grpv-dispatch.
 
     def __init__(self, script):
         self.record = Record(pathlib.Path(script).resolve().parent)
@@ -388,10 +390,10 @@
         services = [service(name) for name in sorted({entry["spec"]["service"] for entry in routes})]
         self.store.put("config", "main", {"config_version": version, "resources": [*routes, *services, limits()]})
 
-    async def add_backends(self, service_name, count, answer, slots=6):
+    async def add_backends(self, service_name, count, answer, slots=6, backend_type=Backend):
         zones = list(self.ZONES)
         for index in range(count):
-            backend = Backend(f"i-{service_name}-{index}", service_name, zones[index % len(zones)], self.store, self.record,
+            backend = backend_type(f"i-{service_name}-{index}", service_name, zones[index % len(zones)], self.store, self.record,
                               answer, slots)
             await backend.listen()
             self.backends.append(backend)
@@ -400,13 +402,14 @@
         zones = list(self.ZONES)
         for index in range(count):
             zone = zones[index % len(zones)]
-            node = Node(f"front-{zone}-{index}", zone, self.ZONES[zone], self.ZONES, self.store, self.folder.name, self.record)
+            node = Node(f"front-{zone}-{index}", zone, self.ZONES[zone], self.ZONES, self.store, self.folder.name, self.record,
+                        self.BOUNDS)
             self.nodes.append(node)
             node.start()
         for node in self.nodes:
             if not await node.await_ready():
                 return False
-        await asyncio.sleep(4)  # Machines that have just started are not in touch.
+        await asyncio.sleep(self.BOUNDS["stable_window_s"])  # Machines that have just started are not in touch.
         return True
 
     def identity(self):
@@ -425,7 +428,7 @@
                 code, lines = 2, ["the case took too long"]
             dead = [node.name for node in deployment.nodes if node.process.poll() is not None]
             if dead:
-                lines.append(f"ended by themselves: {dead}")
+                lines.append(f"processes that had ended before the end of the script: {dead}")
             deployment.record.close(*lines, f"verdict {code}")
             return code
 
