Withhold a server's status that promises more than the server states

What callers saw: a server that failed a charge after it had run answered 503.

Cause: a whole response without the statement that nothing has run counted as an answer, and an answer was passed on whatever its status means to callers. Related ways out: streamed responses, streamed rejections, the word of an instance of an earlier release.

Change: endOfResponse() decides once, from the header, before a byte leaves. For requests that must not run twice, 408, 429 and 503 without the statement end the attempt as RejectedUnproven: 502, code 3009, without the server's seal, body and Retry-After. A rejection is never streamed. Requests that may run twice get the server's own response, as before.

--- a/src/libs/base/resultcode.cpp
+++ b/src/libs/base/resultcode.cpp
@@ -67,6 +67,8 @@
         "This copy was not run here, but another copy may have been." },
     ResultCodeInfo {
         ResultCode::UnknownAnswerCut, Outcome::Unknown, "unknown-answer-cut", "The answer broke off before its end." },
+    ResultCodeInfo { ResultCode::UnknownServerRejected, Outcome::Unknown, "unknown-server-rejected",
+        "The server rejected the request without stating that it has not run." },
     ResultCodeInfo { ResultCode::BadRequest, Outcome::NotRun, "bad-request",
         "The message is not valid HTTP/1.1 or misses a required part." },
     ResultCodeInfo {
--- a/src/libs/base/resultcode.h
+++ b/src/libs/base/resultcode.h
@@ -48,6 +48,7 @@
     UnknownCancelled = 3006,
     UnknownNotDecided = 3007,
     UnknownAnswerCut = 3008,
+    UnknownServerRejected = 3009,
 
     BadRequest = 4000,
     HeaderTooLarge = 4001,
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -109,6 +109,8 @@
         return "answered";
     case AttemptEnd::ShedByServer:
         return "shed";
+    case AttemptEnd::RejectedUnproven:
+        return "rejected_unproven";
     case AttemptEnd::RejectedByPeer:
         return "refused";
     case AttemptEnd::ConnectRefused:
@@ -748,8 +750,9 @@
     std::string head = encodeRequestHead(*job.request, this->settings.names, server->entry.id, job.deadline - sentAt);
     if (job.route->isIdempotent())
         this->repeatableExchanges.insert(connection);
+    const ExchangeTerms terms { .deadline = job.deadline, .isIdempotent = job.route->isIdempotent() };
     ServerResponse response = co_await connection->exchange(
-        job.request, std::move(head), this->settings.names, job.deadline, *context->sink, context->memory);
+        job.request, std::move(head), this->settings.names, terms, *context->sink, context->memory);
     this->repeatableExchanges.erase(connection);
     context->onCancel = {};
     job.exchanging += Clock::now() - sentAt;
@@ -785,8 +788,10 @@
         server->report.localInFlight = server->inFlight + 1;
         server->report.at = now;
     }
-    const bool hasResponded = response.end == AttemptEnd::Answered || response.end == AttemptEnd::ShedByServer
-        || response.end == AttemptEnd::ResponseTruncated || response.end == AttemptEnd::ResponseInvalid;
+    const bool hasWholeResponse = response.end == AttemptEnd::Answered || response.end == AttemptEnd::ShedByServer
+        || response.end == AttemptEnd::RejectedUnproven;
+    const bool hasResponded = hasWholeResponse || response.end == AttemptEnd::ResponseTruncated
+        || response.end == AttemptEnd::ResponseInvalid;
     if (hasResponded)
         this->lastResponseAt = now;
     if (hasResponded || server->inFlight == 0)
@@ -803,7 +808,8 @@
     if (response.end == AttemptEnd::ShedByServer && job.object != 0)
         server->cachedObjects.remove(job.object);
     // Also a response that reports a mistake of the caller shows that the server survived the request.
-    if (response.end == AttemptEnd::Answered && response.message.status < 500)
+    const bool isRun = response.end == AttemptEnd::Answered || response.end == AttemptEnd::RejectedUnproven;
+    if (isRun && response.message.status < 500)
         this->recordHarmless(job.fingerprint, now);
     if (response.end != AttemptEnd::Answered || response.message.status >= 300)
         return;
@@ -1112,8 +1118,9 @@
         std::string head = encodePeerRequestHead(*job.request, this->settings.names, servers, job.deadline - sentAt);
         context->onCancel = [connection] { connection->close(); };
         PeerResponseSink sink(*context->sink);
+        const ExchangeTerms terms { .deadline = job.deadline, .isIdempotent = job.route->isIdempotent() };
         ServerResponse response = co_await connection->exchange(
-            job.request, std::move(head), this->settings.names, job.deadline, sink, context->memory);
+            job.request, std::move(head), this->settings.names, terms, sink, context->memory);
         context->onCancel = {};
         job.exchanging += Clock::now() - sentAt;
         applyPeerOutcome(response);
--- a/src/libs/forwarding/peerforwarding.cpp
+++ b/src/libs/forwarding/peerforwarding.cpp
@@ -148,18 +148,23 @@
 
 void applyPeerOutcome(ServerResponse& response)
 {
-    if (response.end != AttemptEnd::Answered && response.end != AttemptEnd::ShedByServer)
+    if (response.end != AttemptEnd::Answered && response.end != AttemptEnd::ShedByServer
+        && response.end != AttemptEnd::RejectedUnproven)
         return;
     auto& fields = response.message.fields;
     const std::string outcome = takeField(fields, http::HeaderName::outcome);
     response.message.serversTried = parseServers(takeField(fields, serversTriedField));
     response.message.leavingServer = parseLeavingServer(takeField(fields, leavingServerField));
-    if (outcome == outcomeName(Outcome::Answered))
+    const bool isAnswered = outcome == outcomeName(Outcome::Answered);
+    // An instance of an earlier release takes each status of a server for an answer.
+    if (isAnswered && response.end != AttemptEnd::RejectedUnproven)
         response.end = AttemptEnd::Answered;
     else if (outcome == outcomeName(Outcome::NotRun))
         response.end = AttemptEnd::RejectedByPeer;
-    else
+    else if (!isAnswered)
         response.end = AttemptEnd::NotDecided;
+    if (response.end != AttemptEnd::RejectedUnproven)
+        response.detail.clear();
     response.message.code = requests::codeOfAttempt(response.end);
 }
 
--- a/src/libs/forwarding/serverconnection.cpp
+++ b/src/libs/forwarding/serverconnection.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/serverconnection.h"
 
+#include "forwarding/rejection.h"
+
 #include "base/log.h"
 #include "http/growingbody.h"
 #include "http/readsome.h"
@@ -29,10 +31,12 @@
 /// server closes the connection is lost.
 constexpr milliseconds idleMargin { 1000 };
 
-/// Responses to other requests that are discarded before the connection is closed, and the total size of their bodies.
-/// A faulty server may send them without end.
+/// Responses to other requests that are discarded before the connection is closed. A faulty server may send them
+/// without end.
 constexpr unsigned maximumUnrelatedResponses = 4;
-constexpr std::size_t maximumUnrelatedBytes = 1024UL * 1024;
+
+/// Total size of the bodies that are discarded in one exchange before the connection is closed.
+constexpr std::size_t maximumDiscardedBytes = 1024UL * 1024;
 
 constexpr std::uint32_t maximumResponseHeaderBytes = 64U * 1024U;
 
@@ -81,15 +85,6 @@
     return parseUnsigned(rest.substr(0, rest.find_first_not_of("0123456789")));
 }
 
-/// Status of a server that is not the one for which the request was meant.
-constexpr unsigned misdirectedStatus = 421;
-
-/// Whether a response states that its request did not run.
-bool isStatedNotRun(const http::ResponseHeader& header, const WireNames& names)
-{
-    return !header[names.notRun].empty() || header.result_int() == misdirectedStatus;
-}
-
 } // namespace
 
 Duration connectTimeout(const BackendServer& server)
@@ -107,17 +102,20 @@
     bool isForOtherRequest = false; ///< Its request id is a different one.
     bool isInvalid = false;
     bool hasStarted = false; ///< The header of the response to this request has arrived.
-    TimePoint deadline {}; ///< Of the request.
+    ExchangeTerms terms;
     TimePoint streamingDeadline {}; ///< Moves on while the response is passed on.
-    std::size_t unrelatedBytes = 0; ///< Of the bodies of responses to other requests.
+    std::size_t discardedBytes = 0; ///< Of bodies that nobody gets.
     bool isExcessive = false; ///< A limit of what a server may send was exceeded.
     std::shared_ptr<MessageMemory> memory;
     std::optional<TimePoint> waitsForMemorySince;
 
+    /// Whether parts of the body may reach the caller before all of it is here. After a rejection, the forwarder
+    /// decides what the caller gets.
+    bool canBeStreamed() const { return !this->isForOtherRequest && this->result.end == AttemptEnd::Answered; }
+
     bool canBePassedOnEarly() const
     {
-        return !this->isForOtherRequest && this->result.end == AttemptEnd::Answered && this->result.message.status < 500
-            && !this->parser->get().body().empty();
+        return this->canBeStreamed() && this->result.message.status < 500 && !this->parser->get().body().empty();
     }
 };
 
@@ -220,16 +218,16 @@
 }
 
 Awaitable<ServerResponse> ServerConnection::exchange(std::shared_ptr<const ForwardedRequest> request, std::string head,
-    const WireNames& names, TimePoint deadline, ResponseSink& sink, std::shared_ptr<MessageMemory> memory)
+    const WireNames& names, ExchangeTerms terms, ResponseSink& sink, std::shared_ptr<MessageMemory> memory)
 {
     const auto self = this->shared_from_this();
     PendingResponse pending;
     pending.request = request;
     pending.memory = std::move(memory);
-    pending.deadline = deadline;
-    pending.streamingDeadline = deadline + this->limits.maximumOverrun;
+    pending.terms = terms;
+    pending.streamingDeadline = terms.deadline + this->limits.maximumOverrun;
     try {
-        co_return co_await this->sendAndReceive(pending, std::move(head), names, deadline, sink);
+        co_return co_await this->sendAndReceive(pending, std::move(head), names, sink);
     } catch (const std::exception& error) {
         // Costs this request and connection only, also when the memory is used up.
         logError("exchange_failed", { { "server", this->server->entry.id }, { "why", error.what() } });
@@ -240,14 +238,14 @@
 }
 
 Awaitable<ServerResponse> ServerConnection::sendAndReceive(
-    PendingResponse& pending, std::string head, const WireNames& names, TimePoint deadline, ResponseSink& sink)
+    PendingResponse& pending, std::string head, const WireNames& names, ResponseSink& sink)
 {
     const auto self = this->shared_from_this();
     const std::shared_ptr<const ForwardedRequest> request = pending.request;
     this->reusable = false;
     this->isRequestWritten = false;
     this->bodyWriteError = {};
-    this->armWatchdog(deadline);
+    this->armWatchdog(pending.terms.deadline);
     this->requestSentAt = Clock::now();
 
     const bool writesBodyWithHeader = request->body.size() <= maximumBytesWithHeader;
@@ -377,10 +375,12 @@
         return;
     }
     const unsigned status = header.result_int();
-    const bool isNotRun = isStatedNotRun(header, names);
+    result.end = endOfResponse(header, names, pending.terms.isIdempotent);
+    const bool isNotRun = result.end == AttemptEnd::ShedByServer;
+    if (result.end == AttemptEnd::RejectedUnproven)
+        result.detail = fmt::format("responded with {} and did not state that the request has not run", status);
     result.isMisdirected = status == misdirectedStatus;
     result.hasSeal = !field(names.responseSeal).empty();
-    result.end = isNotRun ? AttemptEnd::ShedByServer : AttemptEnd::Answered;
     result.load = parseLoad(field(names.serverLoad));
     const std::string_view statedLimit = field(names.rateLimit);
     const std::optional<double> rateLimit = parseRateLimit(statedLimit);
@@ -416,7 +416,7 @@
 
 void ServerConnection::armStreamingWatchdog(const PendingResponse& pending)
 {
-    const TimePoint stalledAt = std::max<TimePoint>(pending.deadline, Clock::now() + this->limits.maximumStall);
+    const TimePoint stalledAt = std::max<TimePoint>(pending.terms.deadline, Clock::now() + this->limits.maximumStall);
     this->armWatchdog(std::min(stalledAt, pending.streamingDeadline));
 }
 
@@ -470,6 +470,20 @@
     co_return true;
 }
 
+bool ServerConnection::discardBody(PendingResponse& pending)
+{
+    std::string& body = pending.parser->get().body();
+    pending.discardedBytes += body.size();
+    body.clear();
+    if (pending.discardedBytes <= maximumDiscardedBytes)
+        return true;
+    pending.result.detail = pending.isForOtherRequest ? "received an unlimited response to another request"
+                                                      : "received an unlimited rejection";
+    pending.isInvalid = true;
+    pending.isExcessive = true;
+    return false;
+}
+
 Awaitable<bool> ServerConnection::readBody(PendingResponse& pending, ResponseSink& sink)
 {
     auto& parser = *pending.parser;
@@ -492,16 +506,10 @@
         pending.error = co_await http::readSome(this->socket, this->buffer, parser, allowed);
         if (pending.error)
             co_return false;
-        if (pending.isForOtherRequest) {
-            pending.unrelatedBytes += body.size();
-            body.clear();
-            if (pending.unrelatedBytes > maximumUnrelatedBytes) {
-                pending.result.detail = "received an unlimited response to another request";
-                pending.isInvalid = true;
-                pending.isExcessive = true;
-                co_return false;
-            }
-        }
+        const bool isDiscarded
+            = pending.isForOtherRequest || (!pending.canBeStreamed() && body.size() >= maximumBufferedBytes);
+        if (isDiscarded && !this->discardBody(pending))
+            co_return false;
         this->recordHeldBytes(pending);
         const std::size_t passedOnBytes = pending.result.wasStreamed ? 1 : maximumBufferedBytes;
         if (body.size() >= passedOnBytes && !co_await this->passOn(pending, sink))
--- a/src/libs/forwarding/serverconnection.h
+++ b/src/libs/forwarding/serverconnection.h
@@ -21,7 +21,9 @@
 /// Result of one attempt at a backend server, with its response if there is one.
 struct ServerResponse {
     requests::AttemptEnd end = requests::AttemptEnd::NothingWritten;
-    CallerResponse message; ///< Valid with Answered and ShedByServer, and without its body when it was streamed.
+    /// Valid when a whole response was received. Without its body when it was streamed, and without parts of it when it
+    /// is a long rejection.
+    CallerResponse message;
     bool isMisdirected = false; ///< The address belongs to another server now (status 421).
     bool hasSeal = false; ///< See WireNames::responseSeal.
     bool wasStreamed = false; ///< The response, or its first part, was passed to the sink.
@@ -54,6 +56,12 @@
     Duration maximumOverrun = seconds(10);
 };
 
+/// What an exchange has to keep to.
+struct ExchangeTerms {
+    TimePoint deadline {};
+    bool isIdempotent = false; ///< The request may run more than once.
+};
+
 /// Timeout for a new connection to \a server. Well under a second, to leave time for another server.
 Duration connectTimeout(const BackendServer& server);
 
@@ -72,10 +80,10 @@
     /// Connects to the server and records the result in it. Returns false on failure.
     Awaitable<bool> connect(Duration timeout);
 
-    /// Sends a request and receives its response, until \a deadline. Responses to other requests are discarded.
-    /// \a memory accounts for the bytes of the response.
+    /// Sends a request and receives its response, until the deadline of the \a terms. Responses to other requests are
+    /// discarded. \a memory accounts for the bytes of the response.
     Awaitable<ServerResponse> exchange(std::shared_ptr<const ForwardedRequest> request, std::string head,
-        const WireNames& names, TimePoint deadline, ResponseSink& sink, std::shared_ptr<MessageMemory> memory);
+        const WireNames& names, ExchangeTerms terms, ResponseSink& sink, std::shared_ptr<MessageMemory> memory);
 
     /// Called as soon as the header of a response of the server has arrived, if it contains a notice.
     std::function<void(const ServerNotice&)> onNotice;
@@ -95,7 +103,7 @@
     struct PendingResponse;
 
     Awaitable<ServerResponse> sendAndReceive(
-        PendingResponse& pending, std::string head, const WireNames& names, TimePoint deadline, ResponseSink& sink);
+        PendingResponse& pending, std::string head, const WireNames& names, ResponseSink& sink);
     void armWatchdog(TimePoint deadline);
     void armStreamingWatchdog(const PendingResponse& pending);
     Awaitable<void> writeBody(std::shared_ptr<const ForwardedRequest> request);
@@ -108,6 +116,8 @@
     Awaitable<bool> readBody(PendingResponse& pending, ResponseSink& sink);
     /// Passes on what was read of the body. Returns false when the sink failed.
     Awaitable<bool> passOn(PendingResponse& pending, ResponseSink& sink);
+    /// Drops what was read of a body that nobody gets. Returns false when it goes on beyond all limits.
+    bool discardBody(PendingResponse& pending);
     /// Waits until the response may hold more, or for a short time.
     Awaitable<void> waitForMemory(PendingResponse& pending);
     /// Updates the account for the response.
--- a/src/libs/forwarding/tst_callersession.cpp
+++ b/src/libs/forwarding/tst_callersession.cpp
@@ -702,6 +702,71 @@
     }
 }
 
+TEST_CASE("A server that fails a request which it may have run, with a status that tells callers that it has not run")
+{
+    // Guards against charges made twice: the server states nothing by the status, and callers come again after it.
+    Fixture fixture;
+    fixture.addServer("s2", fixture.second.port());
+    const unsigned status = GENERATE(408U, 429U, 503U);
+    std::string framing = "Content-Length: 4\r\n\r\nfull";
+    bool closes = false;
+    const auto fail = [&](const std::string& request) {
+        return ScriptedResponse { .bytes
+            = fmt::format("HTTP/1.1 {} Failed\r\nX-Id: {}\r\nX-Seal: s\r\nRetry-After: 0.4\r\n", status, idOf(request))
+                + framing,
+            .closes = closes };
+    };
+    fixture.first.script = fail;
+    fixture.second.script = fail;
+    INFO(status);
+
+    SECTION("fails a request that must not run twice, without a promise and without the server's words")
+    {
+        SECTION("in a short response") { }
+        SECTION("in a response that is too long to be buffered")
+        {
+            framing = "Content-Length: 400000\r\n\r\n" + std::string(400000, 'f');
+        }
+        SECTION("in chunks")
+        {
+            framing = "Transfer-Encoding: chunked\r\n\r\n61a80\r\n" + std::string(400000, 'f') + "\r\n0\r\n\r\n";
+        }
+        SECTION("in a response without a length")
+        {
+            framing = "\r\n" + std::string(400000, 'f');
+            closes = true;
+        }
+        SECTION("in a response that never ends")
+        {
+            framing = "Content-Length: 4000000000\r\n\r\n" + std::string(2'000'000, 'f');
+            closes = true;
+        }
+        SECTION("with a statement that is empty") { framing = "X-Not-Run: \r\n" + framing; }
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "\n");
+        CHECK(text.starts_with("HTTP/1.1 502 "));
+        CHECK(text.find("X-Seal") == std::string::npos);
+        CHECK(text.find("Retry-After") == std::string::npos);
+        CHECK(text.find("full") == std::string::npos);
+        CHECK(fixture.first.requests.size() + fixture.second.requests.size() == 1);
+    }
+
+    SECTION("fails a request that may run twice in its own words, when no other server is left")
+    {
+        const std::string text = fixture.exchange(requestBytes("r1", "/safe/1"), "full");
+        CHECK(text.starts_with(fmt::format("HTTP/1.1 {} Failed", status)));
+        CHECK(text.find("X-Seal: s\r\n") != std::string::npos);
+    }
+
+    SECTION("is believed when it states that the request has not run, also in a long response")
+    {
+        framing = "X-Not-Run: 1\r\nContent-Length: 400000\r\n\r\n" + std::string(400000, 'f');
+        const std::string text = fixture.exchange(requestBytes("r1", "/once/1", "POST"), "\n");
+        CHECK(text.starts_with("HTTP/1.1 503 "));
+        CHECK(text.find("X-Seal") == std::string::npos);
+        CHECK(fixture.first.requests.size() + fixture.second.requests.size() == 2);
+    }
+}
+
 TEST_CASE("Downloads")
 {
     Fixture fixture;
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -451,6 +451,38 @@
         CHECK(failing.requests.size() == 1);
     }
 
+    SECTION("are not told that a request did not run by a server's status that says so to them only")
+    {
+        // Guards against charges made twice, as `tst_callersession` does for requests that stay at one instance.
+        const std::size_t bodyBytes = GENERATE(4U, 400000U);
+        const auto fail = [bodyBytes](const std::string& request) {
+            return ScriptedResponse { "HTTP/1.1 503 Failed\r\nX-Id: " + idOf(request)
+                + "\r\nX-Seal: s\r\nRetry-After: 0.4\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+                + std::string(bodyBytes, 'f') };
+        };
+        ScriptedServer older(fixture.context);
+        std::string outcome;
+        SECTION("through an instance of this release") { fixture.server.script = fail; }
+        SECTION("through an instance of an earlier release, which takes the status for an answer")
+        {
+            outcome = "Clementine-Outcome: answered\r\n";
+        }
+        if (!outcome.empty()) {
+            older.script = [&](const std::string& request) {
+                ScriptedResponse response = fail(request);
+                response.bytes.insert(response.bytes.find("X-Id"), outcome);
+                return response;
+            };
+            const Peer peer { "older", "north", { "127.0.0.1", older.port() } };
+            fixture.stranded.forwarder->peers = [peer] { return std::vector<Peer> { peer }; };
+        }
+        const std::string text = fixture.ask("r1", "/once/1");
+        CHECK(contains(text, "HTTP/1.1 502 "));
+        CHECK_FALSE(contains(text, "X-Seal"));
+        CHECK_FALSE(contains(text, "Retry-After"));
+        CHECK(fixture.server.requests.size() + older.requests.size() == 1);
+    }
+
     SECTION("are not told 404 because the other instance does not know the route yet")
     {
         auto older = std::make_shared<Configuration>();
--- a/src/libs/forwarding/tst_serverconnection.cpp
+++ b/src/libs/forwarding/tst_serverconnection.cpp
@@ -207,8 +207,8 @@
         const WireNames names = testWireNames();
         std::string head = encodeRequestHead(*this->request, names, "s1", seconds(5));
         const auto memory = std::make_shared<MessageMemory>(this->budget->open([] {}));
-        co_return co_await this->connection->exchange(
-            this->request, std::move(head), names, Clock::now() + seconds(5), this->sink, memory);
+        const ExchangeTerms terms { .deadline = Clock::now() + seconds(5) };
+        co_return co_await this->connection->exchange(this->request, std::move(head), names, terms, this->sink, memory);
     }
 
     std::shared_ptr<ForwardedRequest> request = std::make_shared<ForwardedRequest>();
--- a/src/libs/requests/retrybudget.cpp
+++ b/src/libs/requests/retrybudget.cpp
@@ -75,6 +75,7 @@
     case AttemptEnd::CancelledUnsent:
         return true;
     case AttemptEnd::Answered:
+    case AttemptEnd::RejectedUnproven:
     case AttemptEnd::LostAfterWrite:
     case AttemptEnd::TimedOut:
     case AttemptEnd::ResponseTruncated:
@@ -93,6 +94,8 @@
         return ResultCode::Answered;
     case AttemptEnd::ShedByServer:
         return ResultCode::NotRunShedByServer;
+    case AttemptEnd::RejectedUnproven:
+        return ResultCode::UnknownServerRejected;
     case AttemptEnd::RejectedByPeer:
         return ResultCode::NotRunNoCapacity;
     case AttemptEnd::ConnectRefused:
--- a/src/libs/requests/retrybudget.h
+++ b/src/libs/requests/retrybudget.h
@@ -63,6 +63,7 @@
 enum class AttemptEnd : std::uint8_t {
     Answered, ///< Complete response that belongs to the request.
     ShedByServer, ///< The backend server rejected the request before starting it.
+    RejectedUnproven, ///< The backend server rejected the request without stating that it has not run.
     RejectedByPeer, ///< The remote entry instance rejected the request and reported it as not run.
     ConnectRefused,
     NothingWritten, ///< Connecting timed out, or the connection closed before the first byte was written.
