Pass on no promise of another instance that decides nothing

What callers saw: a 503 from something at the address of an instance that is none, or without an outcome, reached callers as the promise that the request has not run, though it may have.

Cause: processRequest() finished with the other instance's response whenever that was its own, also when its end was undecided.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/forwarder.h"
 
+#include "forwarding/rejection.h"
+
 #include "base/durations.h"
 #include "base/log.h"
 #include "http/spawn.h"
@@ -585,10 +587,10 @@
                 continue;
             // The other instance knows best when to come back. But only this one knows earlier attempts, and whether
             // the request is proper.
-            const bool isOwnResponse
-                = response->end == AttemptEnd::RejectedByPeer || response->end == AttemptEnd::NotDecided;
-            const bool hasRun = (job.mayHaveRun || failed) && response->end == AttemptEnd::RejectedByPeer;
-            if (isOwnResponse && !hasRun && response->message.status >= 500)
+            const unsigned status = response->message.status;
+            const bool isNotRun = response->end == AttemptEnd::RejectedByPeer && !job.mayHaveRun && !failed;
+            const bool isUndecided = response->end == AttemptEnd::NotDecided && !promisesNotRun(status);
+            if ((isNotRun || isUndecided) && status >= 500)
                 co_return this->finish(job, Outcome { .response = std::move(response->message) });
             break;
         }
--- a/src/libs/forwarding/tst_peerforwarding.cpp
+++ b/src/libs/forwarding/tst_peerforwarding.cpp
@@ -467,6 +467,7 @@
         {
             outcome = "Clementine-Outcome: answered\r\n";
         }
+        SECTION("through something that is no instance") { outcome = "X-Other: 1\r\n"; }
         if (!outcome.empty()) {
             older.script = [&](const std::string& request) {
                 ScriptedResponse response = fail(request);
