Ask other instances for changes while the store turns this one away

Cause: what the store says reached an instance by its own calls alone, or by the watcher of its zone. The log of the case: the instances that were turned away have no line `evacuations` for nine seconds and lose their connections to the servers; all others have it after a second.

Change: such an instance asks up to three others, whose heartbeats say that they know the state of the store, for the changes since its position, and asks the store every 1.5 s. It goes on from its position also after it has begun to list anew. A late answer counts as delayed by an outage only when it is the store's.

--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -74,6 +74,10 @@
     found->second.state = heartbeat.state;
     found->second.isStranded = heartbeat.isStranded;
     found->second.lastHeartbeat = now;
+    const auto oldest = std::max_element(heartbeat.reports.begin(), heartbeat.reports.end(),
+        [](const auto& left, const auto& right) { return left.age < right.age; });
+    if (oldest != heartbeat.reports.end())
+        found->second.storeKnownAt = now - oldest->age;
     return true;
 }
 
@@ -202,6 +206,24 @@
     return result;
 }
 
+std::vector<HostPort> InstanceTable::knowingStore(Duration maximumAge, TimePoint now) const
+{
+    const std::uint64_t seed = hash64(this->localInfo.name);
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, HostPort>> ranked;
+    for (const auto& [name, entry] : this->registered) {
+        if (this->isLive(entry, now) && now - entry.storeKnownAt <= maximumAge)
+            ranked.push_back(
+                { { entry.info.region != this->localInfo.region, hash64(name, seed) }, entry.info.heartbeats });
+    }
+    std::sort(
+        ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::vector<HostPort> result;
+    result.reserve(ranked.size());
+    for (const auto& [rank, address] : ranked)
+        result.push_back(address);
+    return result;
+}
+
 std::optional<InstanceInfo> InstanceTable::permitCoordinator(const std::string& serverId, const std::string& zone,
     const std::string& region, bool isSelfReady, TimePoint now) const
 {
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -84,6 +84,11 @@
     std::size_t liveCount(TimePoint now) const;
     std::map<std::string, std::size_t> liveCountByRegion(TimePoint now) const;
 
+    /// Addresses of the other instances for the store's changes, of those whose knowledge of the store was at most \a
+    /// maximumAge old by their last heartbeat. Those of the local region come first, in an order of this instance's
+    /// own.
+    std::vector<HostPort> knowingStore(Duration maximumAge, TimePoint now) const;
+
     /// The instance that hands out the permits of a backend server in \a zone of \a region, or nothing if that is this
     /// one: a ready instance of the server's zone, or else of its region, or else of any. It can reach the server if
     /// any instance can. \a isSelfReady tells whether this instance may be chosen.
@@ -103,6 +108,7 @@
         InstanceState state = InstanceState::Ready;
         bool isStranded = false;
         TimePoint lastHeartbeat {};
+        TimePoint storeKnownAt {}; ///< As of which it knew all kinds of objects that it reports, as last stated.
     };
 
     std::vector<const InstanceInfo*> readyInstances(bool isSelfReady, TimePoint now) const;
--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -357,3 +357,36 @@
         CHECK(tables.front().coldSenderCandidates(start + InstanceTable::senderRetention).size() == 1);
     }
 }
+
+TEST_CASE("What an instance is told of the store")
+{
+    InstanceTable table(instanceOf("self", "a", "north", 100));
+    const InstanceInfo neighbour = instanceOf("neighbour", "a", "north", 200);
+    const InstanceInfo near = instanceOf("near", "b", "north", 300);
+    const InstanceInfo far = instanceOf("far", "c", "south", 400);
+    table.setRegistered({ neighbour, near, far }, start);
+    const auto report = [&](const InstanceInfo& info, Duration age) {
+        Heartbeat heartbeat = heartbeatOf(info, InstanceState::Ready);
+        heartbeat.reports.resize(2);
+        heartbeat.reports[0].age = milliseconds(10);
+        heartbeat.reports[1].age = age;
+        REQUIRE(table.recordHeartbeat(heartbeat, start));
+    };
+    const auto ports = [&](TimePoint now) {
+        std::vector<int> result;
+        for (const HostPort& address : table.knowingStore(seconds(2), now))
+            result.push_back(address.port);
+        return result;
+    };
+
+    SECTION("instances that know the state of the store are found, those of the region first")
+    {
+        CHECK(ports(start).empty());
+        report(far, milliseconds(100));
+        report(near, milliseconds(1900));
+        report(neighbour, milliseconds(2100));
+        CHECK(ports(start) == std::vector<int> { 301, 401 });
+        CHECK(ports(start + milliseconds(200)) == std::vector<int> { 401 });
+        CHECK(ports(start + milliseconds(2000)).empty());
+    }
+}
--- a/src/libs/platform/kindwatcher.cpp
+++ b/src/libs/platform/kindwatcher.cpp
@@ -32,6 +32,11 @@
     set.revision = std::max(set.revision, changes.revision);
 }
 
+Awaitable<Result<ChangeSet>> ObjectSource::changesKnownElsewhere(std::string, StorePosition)
+{
+    co_return makeError(ResultCode::PlatformUnreachable, "nobody else is asked for changes");
+}
+
 KindWatcher::KindWatcher(asio::any_io_executor watcherExecutor, std::shared_ptr<ObjectSource> objectSource,
     std::string objectKind, WatchOptions watchOptions)
     : executor(std::move(watcherExecutor))
@@ -102,6 +107,7 @@
     }
     this->sinceLastList.isAfterOutage = true;
     this->needsList = true;
+    this->isResumable = false;
     return true;
 }
 
@@ -141,6 +147,7 @@
     if (this->onList)
         this->onList(valueOf(set), this->sinceLastList);
     this->needsList = false;
+    this->isResumable = false;
     this->mustListLatest = false;
     this->hasListed = true;
     this->sinceLastList = {};
@@ -200,6 +207,7 @@
             co_return true;
         }
         this->sinceLastList.isAfterOutage = true;
+        this->isResumable = this->hasCaughtUp && !this->relistAt;
         this->recordFailure(errorOf(result));
         co_return false;
     }
@@ -207,9 +215,10 @@
     const ChangeSet& changes = valueOf(result);
     if (this->detectRestore(changes.era) || changes.era < this->position.era)
         co_return true;
-    // A response later than this was delayed by an outage of the store. Objects that it reports as removed may only
-    // have expired during the outage.
-    if (Clock::now() - start > this->options.wait + this->options.responseAllowance / 2) {
+    // A response of the store later than this was delayed by an outage. Objects that it reports as removed may only
+    // have expired during the outage. Others answer only while they reach the store.
+    const bool isLate = Clock::now() - start > this->options.wait + this->options.responseAllowance / 2;
+    if (isLate && changes.source != ProofSource::Watcher) {
         this->needsList = true;
         this->sinceLastList.isAfterOutage = true;
         co_return true;
@@ -219,6 +228,24 @@
     co_return true;
 }
 
+Awaitable<bool> KindWatcher::resumeOnce()
+{
+    const StorePosition before = this->position;
+    const Result<ChangeSet> result = co_await this->source->changesKnownElsewhere(this->kind, before);
+    if (this->isStopped || !isOk(result) || !this->isResumable || this->position != before)
+        co_return false;
+    const ChangeSet& changes = valueOf(result);
+    if (this->detectRestore(changes.era) || changes.era < before.era)
+        co_return false;
+    logInfo("store_followed_elsewhere",
+        { { "kind", this->kind }, { "revision", changes.revision }, { "before", before.revision } });
+    this->isResumable = false;
+    this->sinceLastList = {};
+    this->recordSuccess();
+    this->applyChanges(changes);
+    co_return true;
+}
+
 void KindWatcher::applyChanges(const ChangeSet& changes)
 {
     const std::uint64_t knownBefore = this->position.revision;
@@ -285,7 +312,9 @@
     const auto self = this->shared_from_this();
     while (!this->isStopped) {
         this->needsList = this->needsList || (this->relistAt && Clock::now() >= *this->relistAt);
-        const bool succeeded = this->needsList ? co_await this->listOnce() : co_await this->watchOnce();
+        bool succeeded = this->needsList ? co_await this->listOnce() : co_await this->watchOnce();
+        if (!succeeded && this->needsList && this->isResumable && !this->isStopped)
+            succeeded = co_await this->resumeOnce();
         Duration delay = this->options.minimumInterval;
         if (this->isStopped)
             break;
--- a/src/libs/platform/kindwatcher.h
+++ b/src/libs/platform/kindwatcher.h
@@ -87,6 +87,10 @@
     /// Changes after \a position, which the store itself returns at once. Uses a new connection, since those in use may
     /// have become silent. Errors: as above.
     virtual Awaitable<Result<ChangeSet>> changesNow(std::string kind, StorePosition position, milliseconds timeout) = 0;
+
+    /// Changes after \a position as others know them that reach the store, when this instance does not. Errors: as
+    /// above.
+    virtual Awaitable<Result<ChangeSet>> changesKnownElsewhere(std::string kind, StorePosition position);
 };
 
 /// What happened since the previous list.
@@ -162,6 +166,9 @@
     /// state. Error: the set cannot be completed; the objects must be listed again from the store's current state.
     Awaitable<Status> completeList(ObjectSet& set);
     Awaitable<bool> watchOnce();
+    /// Goes on from the last position with what others know, in place of a list that the store does not give. Returns
+    /// false when nobody knows the changes.
+    Awaitable<bool> resumeOnce();
     static Awaitable<void> callSource(std::shared_ptr<ObjectSource> source, std::shared_ptr<PendingCall> call,
         std::string kind, StorePosition position, milliseconds wait, Freshness freshness);
     void abandonCall();
@@ -182,6 +189,7 @@
     std::shared_ptr<PendingCall> pending;
     unsigned failures = 0;
     bool needsList = true;
+    bool isResumable = false; ///< A list is needed only because the store could not be reached since `position`.
     bool hasListed = false;
     bool hasCaughtUp = false;
     bool mustListLatest = false; ///< A stale list could not be completed.
--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -39,6 +39,9 @@
 constexpr double watcherCallsPerSecond = 50;
 constexpr double watcherBurstCalls = 100;
 
+/// Instances of other zones that one call asks at most.
+constexpr std::size_t maximumOthersAsked = 3;
+
 constexpr std::string_view pathPrefix = "/changes/";
 
 std::optional<std::uint64_t> numberOf(const std::string& text)
@@ -231,13 +234,23 @@
 
 void RelayedSource::dropConnections()
 {
-    for (auto& [address, watcher] : this->watchers)
-        watcher.transport->dropConnections();
+    for (const Watchers* known : { &this->watchers, &this->others }) {
+        for (const auto& [address, watcher] : *known)
+            watcher.transport->dropConnections();
+    }
+}
+
+void RelayedSource::keepOnly(Watchers& known, const std::vector<HostPort>& addresses)
+{
+    std::erase_if(known, [&addresses](const auto& entry) {
+        return std::none_of(addresses.begin(), addresses.end(),
+            [&entry](const HostPort& address) { return address.text() == entry.first; });
+    });
 }
 
-RelayedSource::Watcher& RelayedSource::watcherAt(const HostPort& address)
+RelayedSource::Watcher& RelayedSource::watcherAt(Watchers& known, const HostPort& address)
 {
-    Watcher& watcher = this->watchers[address.text()];
+    Watcher& watcher = known[address.text()];
     if (!watcher.transport) {
         watcher.transport = std::make_shared<Transport>(
             this->executor, TransportSettings { address, watcherCallsPerSecond, watcherBurstCalls });
@@ -261,7 +274,7 @@
             = assigned.role == RelayRole::Watcher || (this->provesForOthers && this->provesForOthers());
         const bool mustStayFresh = hasDependents && this->relay->isLeading(kind);
         const milliseconds watcherWait = std::chrono::duration_cast<milliseconds>(this->timing.watcherWait);
-        co_return co_await this->askStore(
+        co_return co_await this->askStoreOrOthers(
             kind, position, mustStayFresh ? std::min(wait, watcherWait) : wait, freshness);
     }
     const milliseconds followerWait = std::chrono::duration_cast<milliseconds>(this->timing.followerWait);
@@ -273,13 +286,19 @@
         if (isOk(relayed) || errorOf(relayed).code == ResultCode::PlatformHistoryLost)
             co_return relayed;
         const bool isOutage = errorOf(relayed).code == ResultCode::PlatformBadAnswer;
-        const bool hasJustFailed = Clock::now() - this->storeFailedAt < this->timing.outageRetryDelay;
-        if (!isOutage || !hasJustFailed) {
+        std::optional<Error> lastOwn;
+        if (!isOutage || !this->hasStoreJustFailed()) {
             const Result<ChangeSet> own
                 = co_await this->askStore(kind, position, std::min(wait, followerWait), freshness);
-            if (isOk(own) || !isOutage || errorOf(own).code == ResultCode::PlatformHistoryLost)
+            if (isOk(own) || errorOf(own).code == ResultCode::PlatformHistoryLost)
                 co_return own;
+            lastOwn = errorOf(own);
         }
+        const Result<ChangeSet> known = co_await this->changesKnownElsewhere(kind, position);
+        if (isOk(known))
+            co_return known;
+        if (lastOwn && !isOutage)
+            co_return *lastOwn;
         // The store may serve another instance of the zone, which needs a moment to notice that the watcher is lost.
         if (Clock::now() >= giveUpAt)
             co_return makeError(
@@ -291,21 +310,76 @@
 
 Awaitable<Result<ChangeSet>> RelayedSource::changesNow(std::string kind, StorePosition position, milliseconds timeout)
 {
-    return this->store->changesNow(std::move(kind), position, timeout);
+    const auto self = this->shared_from_this();
+    if (this->hasStoreJustFailed()) {
+        const Result<ChangeSet> known = co_await this->changesKnownElsewhere(kind, position);
+        if (isOk(known))
+            co_return known;
+    }
+    const Result<ChangeSet> own = co_await this->store->changesNow(kind, position, timeout);
+    if (isOk(own) || errorOf(own).code == ResultCode::PlatformHistoryLost)
+        co_return own;
+    // One answer may be lost while the store serves this instance, so the next calls go to the store all the same.
+    const Result<ChangeSet> known = co_await this->changesKnownElsewhere(kind, position);
+    co_return isOk(known) ? known : own;
+}
+
+Awaitable<Result<ChangeSet>> RelayedSource::askStoreOrOthers(
+    std::string kind, StorePosition position, milliseconds wait, Freshness freshness)
+{
+    // What others know is never stale, so it cannot take the place of a list that may be.
+    const bool mayAskOthers = freshness == Freshness::Latest;
+    const bool asksOthersFirst = mayAskOthers && this->hasStoreJustFailed();
+    if (asksOthersFirst) {
+        const Result<ChangeSet> known = co_await this->changesKnownElsewhere(kind, position);
+        if (isOk(known))
+            co_return known;
+    }
+    const Result<ChangeSet> own = co_await this->askStore(kind, position, wait, freshness);
+    if (isOk(own) || !mayAskOthers || asksOthersFirst || errorOf(own).code == ResultCode::PlatformHistoryLost)
+        co_return own;
+    const Result<ChangeSet> known = co_await this->changesKnownElsewhere(kind, position);
+    co_return isOk(known) ? known : own;
+}
+
+Awaitable<Result<ChangeSet>> RelayedSource::changesKnownElsewhere(std::string kind, StorePosition position)
+{
+    const auto self = this->shared_from_this();
+    std::vector<HostPort> addresses = this->otherInstances ? this->otherInstances() : std::vector<HostPort> {};
+    addresses.resize(std::min(addresses.size(), maximumOthersAsked));
+    keepOnly(this->others, addresses);
+    for (const HostPort& address : addresses) {
+        if (Clock::now() < this->watcherAt(this->others, address).backoffUntil)
+            continue;
+        const std::shared_ptr<Transport> transport = this->watcherAt(this->others, address).transport;
+        const Result<RelayedChanges> relayed = co_await this->askWatcher(transport, kind, position);
+        const bool isUsed = isOk(relayed) && valueOf(relayed).age < this->timing.freshness
+            && valueOf(relayed).changes.source == ProofSource::Watcher;
+        if (this->onWatcherCall)
+            this->onWatcherCall(isUsed);
+        if (isUsed)
+            co_return valueOf(relayed).changes;
+        // One that is not in sync, or no longer knows the changes, says so at once. A silent one has taken its time.
+        const bool isSilent = !isOk(relayed) && errorOf(relayed).code != ResultCode::PlatformBadAnswer
+            && errorOf(relayed).code != ResultCode::PlatformHistoryLost;
+        if (isSilent) {
+            logInfo("instance_lost",
+                { { "kind", kind }, { "address", address.text() }, { "why", errorOf(relayed).text() } });
+            this->watcherAt(this->others, address).backoffUntil = Clock::now() + this->timing.watcherBackoff;
+        }
+    }
+    co_return makeError(ResultCode::PlatformUnreachable, "no other instance knows the changes");
 }
 
 Awaitable<Result<ChangeSet>> RelayedSource::askWatchers(
     std::vector<HostPort> addresses, std::string kind, StorePosition position)
 {
     Error last = makeError(ResultCode::PlatformUnreachable, "no watcher of the zone responds");
-    std::erase_if(this->watchers, [&addresses](const auto& entry) {
-        return std::none_of(addresses.begin(), addresses.end(),
-            [&entry](const HostPort& address) { return address.text() == entry.first; });
-    });
+    keepOnly(this->watchers, addresses);
     for (const HostPort& address : addresses) {
-        if (Clock::now() < this->watcherAt(address).backoffUntil)
+        if (Clock::now() < this->watcherAt(this->watchers, address).backoffUntil)
             continue;
-        const std::shared_ptr<Transport> transport = this->watcherAt(address).transport;
+        const std::shared_ptr<Transport> transport = this->watcherAt(this->watchers, address).transport;
         const Result<RelayedChanges> relayed = co_await this->askWatcher(transport, kind, position);
         const bool isUsed = isOk(relayed) && valueOf(relayed).age < this->timing.freshness;
         if (this->onWatcherCall)
@@ -320,7 +394,7 @@
         // watcher has taken the time that was left.
         if (last.code != ResultCode::PlatformBadAnswer) {
             logInfo("watcher_lost", { { "kind", kind }, { "why", last.text() } });
-            this->watcherAt(address).backoffUntil = Clock::now() + this->timing.watcherBackoff;
+            this->watcherAt(this->watchers, address).backoffUntil = Clock::now() + this->timing.watcherBackoff;
             break;
         }
     }
--- a/src/libs/platform/storerelay.h
+++ b/src/libs/platform/storerelay.h
@@ -16,7 +16,8 @@
 /// Relay of the store's changes within an availability zone. One instance of each zone, the watcher, watches the store
 /// for all; the others, the followers, ask it. The calls to the store then grow with the number of zones and not with
 /// the number of instances. A follower whose watcher is dead, slow or cut off from the store asks the store itself,
-/// soon enough to meet the bound for drained backend servers.
+/// soon enough to meet the bound for drained backend servers. An instance that the store turns away, while it serves
+/// others, asks those in any zone.
 namespace clementinefall::platform {
 
 /// What an instance does to follow the store.
@@ -66,6 +67,7 @@
     Duration startDelay = milliseconds(3500); ///< Time to learn the instances of the zone after the start.
     Duration watcherBackoff = seconds(2); ///< After a failed call to a watcher.
     /// Between two calls of a follower to a store that its watcher cannot reach either.
+    /// Also while other instances know the changes.
     Duration outageRetryDelay = milliseconds(1500);
 };
 
@@ -128,6 +130,9 @@
     std::function<RelayAssignment()> assignment;
     /// Whether the other instances of zones without a watcher rely on the proofs of this one.
     std::function<bool()> provesForOthers;
+    /// Addresses of instances of all zones that know the state of the store, in the order of preference. They are asked
+    /// when neither the store nor a watcher of the zone responds.
+    std::function<std::vector<HostPort>()> otherInstances;
     /// Called after each call to a watcher with whether its response was used.
     std::function<void(bool)> onWatcherCall;
 
@@ -135,6 +140,7 @@
     Awaitable<Result<ChangeSet>> changes(
         std::string kind, StorePosition position, milliseconds wait, Freshness freshness) override;
     Awaitable<Result<ChangeSet>> changesNow(std::string kind, StorePosition position, milliseconds timeout) override;
+    Awaitable<Result<ChangeSet>> changesKnownElsewhere(std::string kind, StorePosition position) override;
 
     /// Ends the calls to watchers in progress, see Transport::dropConnections().
     void dropConnections();
@@ -156,13 +162,20 @@
     Awaitable<Result<ChangeSet>> askWatchers(std::vector<HostPort> addresses, std::string kind, StorePosition position);
     Awaitable<Result<ChangeSet>> askStore(
         std::string kind, StorePosition position, milliseconds wait, Freshness freshness);
-    Watcher& watcherAt(const HostPort& address);
+    /// Asks the store, and other instances when it does not respond or has failed a short time ago.
+    Awaitable<Result<ChangeSet>> askStoreOrOthers(
+        std::string kind, StorePosition position, milliseconds wait, Freshness freshness);
+    bool hasStoreJustFailed() const { return Clock::now() - this->storeFailedAt < this->timing.outageRetryDelay; }
+    using Watchers = std::map<std::string, Watcher>; ///< By address.
+    static void keepOnly(Watchers& known, const std::vector<HostPort>& addresses);
+    Watcher& watcherAt(Watchers& known, const HostPort& address);
 
     asio::any_io_executor executor;
     std::shared_ptr<ObjectSource> store;
     std::shared_ptr<StoreRelay> relay;
     RelayTiming timing;
-    std::map<std::string, Watcher> watchers; ///< Those of the last call, by address.
+    Watchers watchers; ///< Of the zone, those of the last call.
+    Watchers others; ///< Instances of all zones, those of the last call.
     TimePoint startedAt {};
     TimePoint storeFailedAt {};
 };
--- a/src/libs/platform/tst_storerelay.cpp
+++ b/src/libs/platform/tst_storerelay.cpp
@@ -435,6 +435,98 @@
     }
 }
 
+TEST_CASE("An instance that the store turns away, while it serves others")
+{
+    // Guards against requests to servers of zones that are evacuated or taken back meanwhile: what the store tells the
+    // others must reach this instance too.
+    asio::io_context context { 1 };
+    FakeStore store;
+    Instance reaching(context, store, RelayRole::Watcher);
+    Instance another(context, store, RelayRole::Watcher);
+    Instance turnedAway(context, store, RelayRole::Alone);
+    std::vector<HostPort> known { reaching.address(), another.address() };
+    turnedAway.source->otherInstances = [&known] { return known; };
+    context.run_for(changeBound);
+    REQUIRE(turnedAway.revision == 10);
+    const auto knowsRemovalInTime = [&](const std::string& name) {
+        store.remove(name);
+        const TimePoint start = Clock::now();
+        while (Clock::now() - start < changeBound && !turnedAway.removed.contains(name))
+            context.run_one_for(milliseconds(10));
+        return turnedAway.removed.contains(name);
+    };
+    turnedAway.access->isCut = true;
+    store.wake();
+
+    SECTION("knows of changes in time, and of all of them when the store serves it again")
+    {
+        const unsigned watchesBefore = turnedAway.access->watches;
+        const TimePoint start = Clock::now();
+        for (int i = 0; i < 5; ++i) {
+            CHECK(knowsRemovalInTime("server-" + std::to_string(i)));
+            context.run_for(changeBound / 2);
+        }
+        const auto retries = static_cast<unsigned>((Clock::now() - start) / relayTiming(changeBound).outageRetryDelay);
+        CHECK(turnedAway.access->watches - watchesBefore <= retries + 2);
+        turnedAway.access->isCut = false;
+        const unsigned watchesUntilReturn = turnedAway.access->watches;
+        context.run_for(2 * changeBound);
+        known.clear();
+        CHECK(knowsRemovalInTime("server-9"));
+        CHECK(turnedAway.access->watches > watchesUntilReturn);
+        CHECK(turnedAway.listsAfterOutage == 0);
+    }
+    SECTION("also when it has found nobody at first, and tries to list the objects")
+    {
+        known.clear();
+        context.run_for(2 * changeBound);
+        REQUIRE(turnedAway.access->lists > 1);
+        store.remove("server-0");
+        known = { reaching.address() };
+        context.run_for(changeBound);
+        CHECK(turnedAway.removed.contains("server-0"));
+        CHECK(knowsRemovalInTime("server-1"));
+        CHECK(turnedAway.listsAfterOutage == 0);
+    }
+    SECTION("also when the first one that it asks has lost the store")
+    {
+        reaching.access->isCut = true;
+        store.wake();
+        context.run_for(changeBound);
+        CHECK(knowsRemovalInTime("server-0"));
+    }
+    SECTION("also when the first one that it asks has just been frozen")
+    {
+        while (reaching.callsUnderWay > 0)
+            context.run_one();
+        reaching.isFrozen = true;
+        CHECK(knowsRemovalInTime("server-0"));
+    }
+    SECTION("takes the loss of the store by all for an outage, so that missing objects may still come back")
+    {
+        reaching.access->isCut = true;
+        another.access->isCut = true;
+        store.wake();
+        context.run_for(2 * changeBound);
+        for (Instance* instance : { &reaching, &another, &turnedAway })
+            instance->access->isCut = false;
+        context.run_for(2 * changeBound);
+        CHECK(turnedAway.listsAfterOutage == 1);
+        CHECK(knowsRemovalInTime("server-0"));
+    }
+    SECTION("lists the objects anew when the store was restored meanwhile")
+    {
+        store.remove("server-0");
+        context.run_for(changeBound);
+        store.restore(10);
+        context.run_for(2 * changeBound);
+        turnedAway.access->isCut = false;
+        context.run_for(2 * changeBound);
+        CHECK(turnedAway.listedAt.era == store.log.era);
+        CHECK(knowsRemovalInTime("server-1"));
+    }
+}
+
 TEST_CASE("A watcher whose knowledge of one kind is old")
 {
     asio::io_context context { 1 };
