Assume servers cold after an evacuation that is seen as a whole

What callers could see: an instance that had heard nothing while a zone was evacuated and taken back sent the usual load to its cold servers.

Cause: all changes of an answer were applied before the evacuated zones were compared with those in force, so an evacuation whose begin and end arrived together was never in force, and its end assumed no cold time.

Change: changes of evacuations are put in force one after the other. The cold time runs from the moment of hearing: an instance that hears of it late is careful for a few seconds longer than needed.

Evidence: tst_evacuationset "An evacuation of which the begin and the end arrive together" failed with the changes applied at once (1 of 4 assertions) and passes now.

--- a/src/libs/forwarding/evacuationset.cpp
+++ b/src/libs/forwarding/evacuationset.cpp
@@ -24,6 +24,15 @@
     }
 }
 
+void changeEvacuations(EvacuationSet& set, std::span<const EvacuationChange> changes,
+    const std::function<void(const std::set<std::string>& zones)>& apply)
+{
+    for (const EvacuationChange& change : changes) {
+        changeEvacuation(set, change.zone, change.isRemoved);
+        apply(set.zones);
+    }
+}
+
 bool settleEvacuations(EvacuationSet& set, TimePoint now)
 {
     if (set.settlesAt == TimePoint {} || now < set.settlesAt)
--- a/src/libs/forwarding/evacuationset.h
+++ b/src/libs/forwarding/evacuationset.h
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 
+#include <functional>
 #include <set>
+#include <span>
 #include <string>
 
 namespace clementinefall::forwarding {
@@ -24,6 +26,16 @@
 /// Applies one change. It was made after the list, so it holds at once.
 void changeEvacuation(EvacuationSet& set, const std::string& zone, bool isRemoved);
 
+struct EvacuationChange {
+    std::string zone;
+    bool isRemoved = false;
+};
+
+/// Applies changes that arrive together, and passes the zones in force after each of them to \a apply: an evacuation
+/// that has begun and ended since the last answer of the store leaves cold servers, too.
+void changeEvacuations(EvacuationSet& set, std::span<const EvacuationChange> changes,
+    const std::function<void(const std::set<std::string>& zones)>& apply);
+
 /// Puts the listed zones in force when their time has come. Returns whether that changed the zones.
 bool settleEvacuations(EvacuationSet& set, TimePoint now);
 
--- a/src/libs/forwarding/tst_evacuationset.cpp
+++ b/src/libs/forwarding/tst_evacuationset.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/evacuationset.h"
+#include "forwarding/servercatalog.h"
 
 #include <catch2/catch.hpp>
 
@@ -49,3 +50,28 @@
         CHECK_FALSE(settleEvacuations(set, start + seconds(10)));
     }
 }
+
+TEST_CASE("An evacuation of which the begin and the end arrive together")
+{
+    // Guards against the usual load for the servers of a zone that was evacuated while this instance heard nothing.
+    const TimePoint start { seconds(1000) };
+    ServerCatalog catalog(InstanceLocation { "a", "north", { { "a", "north" }, { "b", "north" } } });
+    for (const std::string zone : { "a", "b" }) {
+        ServerEntry entry;
+        entry.id = "server-" + zone;
+        entry.service = "stock";
+        entry.zone = zone;
+        catalog.apply(entry, start);
+    }
+    EvacuationSet set;
+    const std::vector<EvacuationChange> changes { { "b", false }, { "b", true } };
+    changeEvacuations(set, changes, [&](const std::set<std::string>& zones) { catalog.setEvacuations(zones, start); });
+
+    SECTION("leaves the servers of the zone cold, and usable")
+    {
+        CHECK(isCold(*catalog.find("server-b"), start + ServerCatalog::defaultColdTime - milliseconds(1)));
+        CHECK_FALSE(isCold(*catalog.find("server-b"), start + ServerCatalog::defaultColdTime));
+        CHECK(isUsable(*catalog.find("server-b")));
+    }
+    SECTION("leaves the servers of other zones as they were") { CHECK_FALSE(isCold(*catalog.find("server-a"), start)); }
+}
