Ask servers whether they are cold while nobody hears the store

Cause: the state of servers came from the store alone, and its age did not limit what was sent. Their health responses state the remaining cold time, and nobody asked.

What it says extends the time that is assumed and is told to all instances in heartbeats, which earlier releases ignore.

--- a/src/libs/forwarding/backendserver.h
+++ b/src/libs/forwarding/backendserver.h
@@ -37,6 +37,9 @@
 /// section 2.3, `:` and `@`.
 bool isValidServerId(std::string_view id);
 
+/// Longest cold time of a backend server that its own word, or another instance's, can state at once.
+inline constexpr std::chrono::minutes maximumColdTime { 1 };
+
 /// Distance of a backend server from this entry instance.
 enum class Locality : std::uint8_t { SameZone, SameRegion, OtherRegion };
 
--- a/src/libs/forwarding/heartbeat.cpp
+++ b/src/libs/forwarding/heartbeat.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/heartbeat.h"
 
+#include "forwarding/backendserver.h"
+
 #include "base/log.h"
 
 #include <boost/json.hpp>
@@ -19,6 +21,9 @@
 /// Crash marks may take this part of a heartbeat, so that rate limits and loads have room in each one.
 constexpr std::size_t maximumMarkBytes = maximumHeartbeatBytes / 2;
 
+/// The same for cold servers.
+constexpr std::size_t maximumColdBytes = maximumHeartbeatBytes / 3;
+
 /// Hundredths are precise enough for a value that changes several times per second.
 constexpr double utilizationPrecision = 100;
 
@@ -173,6 +178,33 @@
     return result;
 }
 
+/// As `"server":remaining ms`, rounded up.
+json::object writeColdServers(const std::map<std::string, Duration>& servers, std::size_t maximumBytes)
+{
+    constexpr std::string_view envelope = R"(,"cold":{})";
+    constexpr std::size_t punctuationBytes = 4;
+    std::size_t bytes = envelope.size();
+    json::object result;
+    for (const auto& [server, remaining] : servers) {
+        const auto ms = std::chrono::ceil<milliseconds>(remaining).count();
+        bytes += server.size() + std::to_string(ms).size() + punctuationBytes;
+        if (bytes > maximumBytes)
+            break;
+        result[server] = ms;
+    }
+    return result;
+}
+
+std::map<std::string, Duration> readColdServers(const json::object& servers)
+{
+    std::map<std::string, Duration> result;
+    for (const auto& item : servers) {
+        const milliseconds remaining { item.value().to_number<std::uint32_t>() };
+        result[std::string(item.key())] = std::min<Duration>(remaining, maximumColdTime);
+    }
+    return result;
+}
+
 std::map<std::string, RateLimitState> readRateLimits(const json::object& limits, TimePoint now)
 {
     std::map<std::string, RateLimitState> result;
@@ -255,6 +287,8 @@
         { "incarnation", heartbeat.incarnation }, { "state", stateName(heartbeat.state) } };
     if (heartbeat.isStranded)
         message["stranded"] = true;
+    if (heartbeat.asksServers)
+        message["asks"] = true;
     std::string text = json::serialize(message);
     const auto addIfFits = [&](const char* key, json::value value) {
         json::object larger = message;
@@ -267,6 +301,8 @@
     };
     if (!heartbeat.reports.empty())
         addIfFits("known", writeReports(heartbeat.reports));
+    if (!heartbeat.coldServers.empty())
+        addIfFits("cold", writeColdServers(heartbeat.coldServers, maximumColdBytes));
     if (!heartbeat.clearings.empty())
         addIfFits("cleared", writeClearings(heartbeat.clearings, now));
     if (!heartbeat.crashMarks.empty())
@@ -303,6 +339,9 @@
         }
         if (const json::value* isStranded = message.if_contains("stranded"))
             heartbeat.isStranded = isStranded->as_bool();
+        heartbeat.asksServers = isSet(message, "asks");
+        if (const json::value* cold = message.if_contains("cold"))
+            heartbeat.coldServers = readColdServers(cold->as_object());
         if (const json::value* requestCounts = message.if_contains("in_flight")) {
             for (const auto& item : requestCounts->as_object())
                 heartbeat.inFlight[std::string(item.key())] = item.value().to_number<unsigned>();
--- a/src/libs/forwarding/heartbeat.h
+++ b/src/libs/forwarding/heartbeat.h
@@ -24,6 +24,7 @@
     std::uint64_t incarnation = 0; ///< Random; new at each start.
     InstanceState state = InstanceState::Starting;
     bool isStranded = false; ///< Reaches no backend server; see ServerReachability.
+    bool asksServers = false; ///< Asks backend servers whether they are cold; see ColdInquiry.
     std::map<std::string, double> regionUtilization; ///< Utilization of its region's slots, by service.
     std::map<std::string, unsigned> inFlight; ///< Requests per backend server; sent to the local zone only.
     std::vector<requests::CrashMark> crashMarks; ///< Recently observed crashes, the most important first.
@@ -31,6 +32,7 @@
     /// Rate limits of the backend servers that the instance coordinates, and limits that ended a short time ago.
     std::map<std::string, RateLimitState> rateLimits;
     std::vector<platform::KindReport> reports {}; ///< What the instance knows of the store.
+    std::map<std::string, Duration> coldServers {}; ///< Remaining cold times that servers have told the instance.
     /// By the clock of the sender, see withClock(); not set by encodeHeartbeat().
     std::optional<Duration> clock {};
     std::optional<ClockEcho> echo {};
--- a/src/libs/forwarding/instancetable.cpp
+++ b/src/libs/forwarding/instancetable.cpp
@@ -73,6 +73,7 @@
         return false;
     found->second.state = heartbeat.state;
     found->second.isStranded = heartbeat.isStranded;
+    found->second.asksServers = heartbeat.asksServers;
     found->second.lastHeartbeat = now;
     const auto oldest = std::max_element(heartbeat.reports.begin(), heartbeat.reports.end(),
         [](const auto& left, const auto& right) { return left.age < right.age; });
@@ -206,6 +207,17 @@
     return result;
 }
 
+bool InstanceTable::asksServer(
+    const std::string& serverId, const std::string& zone, const std::string& region, TimePoint now) const
+{
+    std::vector<const InstanceInfo*> asking { &this->localInfo };
+    for (const auto& [name, entry] : this->registered) {
+        if (entry.asksServers && this->isLive(entry, now))
+            asking.push_back(&entry.info);
+    }
+    return chosenFor(serverId, nearest(asking, zone, region)) == &this->localInfo;
+}
+
 std::vector<HostPort> InstanceTable::knowingStore(Duration maximumAge, TimePoint now) const
 {
     const std::uint64_t seed = hash64(this->localInfo.name);
@@ -224,17 +236,23 @@
     return result;
 }
 
+const InstanceInfo* InstanceTable::chosenFor(
+    const std::string& serverId, const std::vector<const InstanceInfo*>& candidates)
+{
+    std::vector<std::string> names;
+    names.reserve(candidates.size());
+    for (const InstanceInfo* candidate : candidates)
+        names.push_back(candidate->name);
+    return candidates[coordinatorIndex(serverId, names)];
+}
+
 std::optional<InstanceInfo> InstanceTable::permitCoordinator(const std::string& serverId, const std::string& zone,
     const std::string& region, bool isSelfReady, TimePoint now) const
 {
     const std::vector<const InstanceInfo*> candidates = nearest(this->readyInstances(isSelfReady, now), zone, region);
     if (candidates.empty())
         return std::nullopt;
-    std::vector<std::string> names;
-    names.reserve(candidates.size());
-    for (const InstanceInfo* candidate : candidates)
-        names.push_back(candidate->name);
-    const InstanceInfo* coordinator = candidates[coordinatorIndex(serverId, names)];
+    const InstanceInfo* coordinator = chosenFor(serverId, candidates);
     return coordinator == &this->localInfo ? std::nullopt : std::optional(*coordinator);
 }
 
--- a/src/libs/forwarding/instancetable.h
+++ b/src/libs/forwarding/instancetable.h
@@ -84,6 +84,11 @@
     std::size_t liveCount(TimePoint now) const;
     std::map<std::string, std::size_t> liveCountByRegion(TimePoint now) const;
 
+    /// Whether this instance asks a backend server in \a zone of \a region whether it is cold, for all live instances
+    /// that ask servers: one of the server's zone, or else of its region, or else any.
+    bool asksServer(
+        const std::string& serverId, const std::string& zone, const std::string& region, TimePoint now) const;
+
     /// Addresses of the other instances for the store's changes, of those whose knowledge of the store was at most \a
     /// maximumAge old by their last heartbeat. Those of the local region come first, in an order of this instance's
     /// own.
@@ -107,10 +112,14 @@
         InstanceInfo info;
         InstanceState state = InstanceState::Ready;
         bool isStranded = false;
+        bool asksServers = false; ///< See Heartbeat::asksServers.
         TimePoint lastHeartbeat {};
         TimePoint storeKnownAt {}; ///< As of which it knew all kinds of objects that it reports, as last stated.
     };
 
+    /// The one of \a candidates, of which there is at least one, that is responsible for the server.
+    static const InstanceInfo* chosenFor(
+        const std::string& serverId, const std::vector<const InstanceInfo*>& candidates);
     std::vector<const InstanceInfo*> readyInstances(bool isSelfReady, TimePoint now) const;
     /// Those of \a instances that are not stranded.
     std::vector<const InstanceInfo*> withoutStranded(const std::vector<const InstanceInfo*>& instances) const;
--- a/src/libs/forwarding/servercatalog.cpp
+++ b/src/libs/forwarding/servercatalog.cpp
@@ -174,6 +174,16 @@
     }
 }
 
+bool ServerCatalog::assumeCold(const std::string& id, TimePoint until, TimePoint now)
+{
+    const ServerPointer server = this->find(id);
+    if (!server)
+        return false;
+    const bool wasCold = isCold(*server, now);
+    server->assumedColdUntil = std::max(server->assumedColdUntil, until);
+    return !wasCold && isCold(*server, now);
+}
+
 Duration ServerCatalog::coldTimeOf(const std::string& service) const
 {
     const auto found = this->coldTimeByService.find(service);
--- a/src/libs/forwarding/servercatalog.h
+++ b/src/libs/forwarding/servercatalog.h
@@ -67,6 +67,10 @@
     /// shorten the time: they may have been written earlier.
     void setEvacuations(std::set<std::string> zones, TimePoint now);
 
+    /// Assumes that a server is cold at least until \a until. Nothing shortens this but the time. Returns whether the
+    /// server was not known to be cold.
+    bool assumeCold(const std::string& id, TimePoint until, TimePoint now);
+
     /// Records that an incarnation has said that it leaves, also while its entry is removed: the entry may come back.
     /// Returns false when the incarnation is not known or this was known.
     bool markLeaving(const std::string& id, std::uint64_t startTimeMs);
--- a/src/libs/forwarding/testwirenames.h
+++ b/src/libs/forwarding/testwirenames.h
@@ -15,6 +15,8 @@
         .serverLoad = "X-Load",
         .rateLimit = "X-Limit",
         .serverLeaving = "X-Leaving",
+        .healthServerId = "X-Instance",
+        .coldRemaining = "X-Cold",
         .affinityCookie = "object" };
 }
 
--- a/src/libs/forwarding/tst_instancetable.cpp
+++ b/src/libs/forwarding/tst_instancetable.cpp
@@ -358,7 +358,7 @@
     }
 }
 
-TEST_CASE("What an instance is told of the store")
+TEST_CASE("What an instance is told of the store and of cold servers")
 {
     InstanceTable table(instanceOf("self", "a", "north", 100));
     const InstanceInfo neighbour = instanceOf("neighbour", "a", "north", 200);
@@ -389,4 +389,47 @@
         CHECK(ports(start + milliseconds(200)) == std::vector<int> { 401 });
         CHECK(ports(start + milliseconds(2000)).empty());
     }
+
+    SECTION("one of those that ask servers asks each of them")
+    {
+        const auto asks = [&](const std::string& zone, const std::string& region) {
+            unsigned count = 0;
+            for (int i = 0; i < 100; ++i)
+                count += table.asksServer("s" + std::to_string(i), zone, region, start) ? 1U : 0U;
+            return count;
+        };
+        CHECK(asks("a", "north") == 100);
+        for (const InstanceInfo* info : { &neighbour, &far }) {
+            Heartbeat heartbeat = heartbeatOf(*info, InstanceState::Ready);
+            heartbeat.asksServers = true;
+            REQUIRE(table.recordHeartbeat(heartbeat, start));
+        }
+        CHECK(asks("a", "north") > 20);
+        CHECK(asks("a", "north") < 80);
+        CHECK(asks("b", "north") > 20);
+        CHECK(asks("c", "south") == 0);
+        CHECK(table.asksServer("s1", "c", "south", start + InstanceTable::livenessTimeout));
+    }
+
+    SECTION("cold servers arrive with the time that remains, as many as fit")
+    {
+        Heartbeat heartbeat = heartbeatOf(neighbour, InstanceState::Ready);
+        heartbeat.asksServers = true;
+        heartbeat.coldServers = { { "s1", microseconds(2999500) }, { "s2", std::chrono::hours(5) } };
+        Result<Heartbeat> read = decodeHeartbeat(encodeHeartbeat(heartbeat, start), start + seconds(9));
+        REQUIRE(isOk(read));
+        CHECK(valueOf(read).asksServers);
+        CHECK(valueOf(read).coldServers.at("s1") == milliseconds(3000));
+        CHECK(valueOf(read).coldServers.at("s2") == maximumColdTime);
+        for (int i = 0; i < 300; ++i)
+            heartbeat.coldServers["server-" + std::to_string(i)] = seconds(1);
+        read = decodeHeartbeat(encodeHeartbeat(heartbeat, start), start);
+        REQUIRE(isOk(read));
+        CHECK(valueOf(read).coldServers.size() >= 16);
+        heartbeat = heartbeatOf(neighbour, InstanceState::Ready);
+        read = decodeHeartbeat(encodeHeartbeat(heartbeat, start), start);
+        REQUIRE(isOk(read));
+        CHECK_FALSE(valueOf(read).asksServers);
+        CHECK(valueOf(read).coldServers.empty());
+    }
 }
--- a/src/libs/forwarding/wirenames.h
+++ b/src/libs/forwarding/wirenames.h
@@ -15,6 +15,8 @@
     std::string serverLoad; ///< Load of a backend server as `running,waiting,slots`.
     std::string rateLimit; ///< Requests per second that a backend server accepts from all entry instances together.
     std::string serverLeaving; ///< Set to 1 in all responses of a backend server that stops soon.
+    std::string healthServerId; ///< In health responses: the incarnation that responds.
+    std::string coldRemaining; ///< In health responses: time for which the server stays cold, in whole milliseconds.
     std::string affinityCookie; ///< Name of the cookie with the affinity key.
 };
 
