Wait for the request on a silenced connection before its caller gives up

Cause: the caller closes the connection at its timeout of 100 ms. Under load the simulated server has not read the request by then and never runs it.

--- a/src/tools/backend/tst_simserver.cpp
+++ b/src/tools/backend/tst_simserver.cpp
@@ -220,12 +220,14 @@
         const ConnectionPtr silenced = fixture.connection();
         REQUIRE(isOk(fixture.start(silenced, requestFor("/a?workMs=1", "first")).get()));
         fixture.controlCall(http::Verb::post, "/servers/s1/silence");
-        const CallResult unanswered
-            = fixture.start(silenced, requestFor("/a?workMs=1", "lost"), milliseconds(100)).get();
-        REQUIRE_FALSE(isOk(unanswered));
-        CHECK(errorOf(unanswered).code == ResultCode::UnknownTimeout);
+        auto unanswered = fixture.start(silenced, requestFor("/a?workMs=1", "lost"), seconds(1));
+        // The caller closes the connection at its timeout, before the server has seen the request if that is too short.
+        REQUIRE(fixture.awaitCounter("started", 2) == 2);
         CHECK(isOk(fixture.call(requestFor("/a?workMs=1", "new"))));
         CHECK(fixture.controlCall(http::Verb::get, "/effects").find("lost") != std::string::npos);
+        const CallResult result = unanswered.get();
+        REQUIRE_FALSE(isOk(result));
+        CHECK(errorOf(result).code == ResultCode::UnknownTimeout);
     }
 
     SECTION("a draining server announces it and counts the requests that it starts after the drain command")
