--- a/src/libs/forwarding/tst_coldinquiry.cpp
+++ b/src/libs/forwarding/tst_coldinquiry.cpp
@@ -123,6 +123,7 @@
     {
         std::vector<ServerPointer> servers;
         std::set<std::string> all;
+        servers.reserve(100);
         for (int i = 0; i < 100; ++i)
             servers.push_back(serverOf("s" + std::to_string(i)));
         for (const ServerPointer& server : servers)
