--- a/src/libs/platform/storerelay.cpp
+++ b/src/libs/platform/storerelay.cpp
@@ -39,7 +39,7 @@
 constexpr double watcherCallsPerSecond = 50;
 constexpr double watcherBurstCalls = 100;
 
-/// Instances of other zones that one call asks at most.
+/// Other instances that one call asks at most.
 constexpr std::size_t maximumOthersAsked = 3;
 
 constexpr std::string_view pathPrefix = "/changes/";
